--- a/meadowspread/balance.py
+++ b/iristrack/balance.py
@@ -1,4 +1,4 @@
-"""Every decision of the balancer. Read `meadowspread/interface.py` first: it names settings, events, actions.
+"""Every decision of the balancer. Read `iristrack/interface.py` first: it names settings, events, actions.
 
 The ordinary path (docs/design.md): a key's hash ranks the ready servers, the first two are its candidates,
 and the one with fewer of this balancer's own requests in flight gets the request.
@@ -13,7 +13,7 @@
 from collections import deque
 from hashlib import blake2b
 
-from meadowspread import interface as mi
+from iristrack import interface as mi
 
 MASK = (1 << 64) - 1
 TICKS_PER_AIM = 16  # housekeeping runs so many times within the shortest aim
--- a/meadowspread/drill.py
+++ b/iristrack/drill.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Iterable
 from typing import TextIO
 
-from meadowspread import interface as mi
-from meadowspread.balance import Balancer
+from iristrack import interface as mi
+from iristrack.balance import Balancer
 
 OUTCOMES = {
     "0": mi.Outcome.ERROR,
@@ -330,7 +330,7 @@
         elif name in READERS or name in ("BOOT", "DESTROY", "MEMBERSHIP"):
             self._event(name, fields)
         else:
-            print(f"meadowspread: unknown message {name} skipped", file=self.errors)
+            print(f"iristrack: unknown message {name} skipped", file=self.errors)
         return None
 
     def _item(self, fields: Fields) -> None:
@@ -396,13 +396,13 @@
         try:
             reply = adapter.line(line)
         except WireError as fault:
-            print(f"meadowspread: line {number}: {fault}: {line[:200]}", file=errors)
+            print(f"iristrack: line {number}: {fault}: {line[:200]}", file=errors)
             return 2
         if reply is not None:
             output.write("\n".join(reply) + "\n")
             output.flush()
     if adapter.now is not None:
-        print("meadowspread: the input ended inside a batch", file=errors)
+        print("iristrack: the input ended inside a batch", file=errors)
         return 2
     return 0
 
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
-from meadowspread.balance import Balancer
-from meadowspread.interface import (
+from iristrack.balance import Balancer
+from iristrack.interface import (
     NS_PER_MS,
     NS_PER_S,
     Action,
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from meadowspread.interface import (
+from iristrack.interface import (
     NEVER_RAN,
     NS_PER_S,
     Action,
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -5,7 +5,7 @@
 import re
 from pathlib import Path
 
-from meadowspread.interface import Send
+from iristrack.interface import Send
 
 
 def test_the_library_example_runs() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 import pytest
 from driver import MS, Host, classes, settings
 
-from meadowspread.interface import (
+from iristrack.interface import (
     NS_PER_S,
     AttemptEnded,
     AttemptStarted,
