--- a/iristrack/__init__.py
+++ b/iristrack/__init__.py
@@ -2,4 +2,5 @@
 
 from iristrack.balance import Balancer
 
-__all__ = ["Balancer"]
+__version__ = "0.2.0"
+__all__ = ["Balancer", "__version__"]
--- /dev/null
+++ b/iristrack/__main__.py
@@ -0,0 +1,86 @@
+"""The command line: `serve`, `version` and `check-config`.
+
+This file owns the process: arguments, logging, signals and exit codes. It must never hold anything that a
+transaction passes through.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import os
+import signal
+import socket
+import sys
+from importlib import metadata
+
+from loguru import logger
+
+from iristrack import __version__
+from iristrack.config import Config, ConfigError, load
+from iristrack.net.front import HttpFront
+from iristrack.net.scheduler import Scheduler
+from iristrack.net.sidecar import Sidecar
+
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def _serve(config: Config) -> int:
+    scheduler = Scheduler()
+    sidecar = Sidecar(scheduler, config)
+    front = HttpFront(scheduler, sidecar, config.listen)
+    # Python runs signal handlers between bytecodes, and `poll` goes on after them: the pipe ends its wait.
+    woken, waker = socket.socketpair()
+    woken.setblocking(False)
+    waker.setblocking(False)
+
+    def signalled() -> None:
+        woken.recv(64)
+        front.stop()
+
+    signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: None)
+    scheduler.watch(woken.fileno(), signalled)
+    sidecar.start()
+    try:
+        front.start()
+    except OSError as fault:
+        print(f"iristrack: cannot listen on {config.listen[0]}:{config.listen[1]}: {fault}", file=sys.stderr)
+        return 1
+    logger.info("{} listens on {}:{}", config.name, *config.listen)
+    gc.collect()
+    gc.freeze()
+    scheduler.run()
+    logger.info("{} has stopped", config.name)
+    return 0
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a sub-command; the exit status."""
+    parser = argparse.ArgumentParser(prog="iristrack", description="A client-side load balancer.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    serve = commands.add_parser("serve", help="run the sidecar that NODE_CONFIG describes")
+    serve.add_argument("--log-level", choices=LEVELS, default="INFO", help="least level that is logged")
+    commands.add_parser("version", help="print the version")
+    commands.add_parser("check-config", help="read the configuration, print what it says, start nothing")
+    chosen = parser.parse_args(arguments)
+    if chosen.command == "version":
+        print(f"iristrack {__version__} (greenlet {metadata.version('greenlet')})")
+        return 0
+    try:
+        config = load(os.environ)
+    except ConfigError as fault:
+        print(f"iristrack: {fault}", file=sys.stderr)
+        return 2
+    if chosen.command == "check-config":
+        classes = ", ".join(c.name for c in config.settings.classes)
+        print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}; classes {classes}")
+        return 0
+    logger.remove()
+    logger.add(sys.stderr, level=chosen.log_level, format="{time:HH:mm:ss.SSS} {level} {message}")
+    return _serve(config)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/iristrack/config.py
@@ -0,0 +1,233 @@
+"""What a sidecar is told: environment and JSON to `Settings` and the addresses it uses.
+
+This file owns the reading of settings, for the real sidecar and the adapter alike. It must never
+open a socket or decide anything: a configuration that cannot be read raises one plain `ConfigError`.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from zlib import crc32
+
+from iristrack import interface as mi
+
+_REPEATS = {"free": mi.Repeat.SAFE, "guarded": mi.Repeat.KEYED, "single_shot": mi.Repeat.UNSAFE}
+REPORT_NAMES = {
+    "active": "inflight",
+    "waiting": "queue",
+    "cpu": "util",
+    "avg_ms": "latency_ms",
+    "rps": "qps",
+    "err_rps": "eps",
+}
+
+Fields = dict[str, str]
+
+
+class WireError(ValueError):
+    """A line or a setting that cannot be read."""
+
+
+def flag(text: str | None) -> bool:
+    """Read a yes or no."""
+    return text in ("1", "true")
+
+
+def whole(fields: Fields, name: str, default: int | None = None) -> int:
+    """Read a whole number."""
+    text = fields.get(name)
+    if text is None:
+        if default is None:
+            raise WireError(f"field {name} is missing")
+        return default
+    try:
+        return int(text)
+    except ValueError:
+        raise WireError(f"{name}={text!r} is no whole number") from None
+
+
+def decimal(fields: Fields, name: str, default: float) -> float:
+    """Read a number."""
+    text = fields.get(name)
+    if not text:
+        return default
+    try:
+        return float(text)
+    except ValueError:
+        raise WireError(f"{name}={text!r} is no number") from None
+
+
+def word(fields: Fields, name: str) -> str:
+    """Read a text."""
+    try:
+        return fields[name]
+    except KeyError:
+        raise WireError(f"field {name} is missing") from None
+
+
+def _class(options: Fields, at: str) -> mi.RequestClass:
+    return mi.RequestClass(
+        name=word(options, at + "name"),
+        aim_ns=whole(options, at + "promise_ns"),
+        deadline_ns=whole(options, at + "deadline_ns"),
+        worth=decimal(options, at + "worth", 1.0),
+        late_share=decimal(options, at + "late_share", 0.0),
+        aim_stretch=decimal(options, at + "aim_stretch", 0.0),
+        repeat=_REPEATS.get(options.get(at + "repeat", ""), mi.Repeat.UNSAFE),
+        group=mi.Group(options.get(at + "group") or "all"),
+        memory_ns=whole(options, at + "memory_span_ns", 0),
+        stream=flag(options.get(at + "stream")),
+    )
+
+
+def read_settings(options: Fields) -> mi.Settings:
+    """Translate the start message's settings; what is unknown is skipped, what is absent gets its default."""
+    o = options
+    return mi.Settings(
+        classes=tuple(_class(o, f"classes.{i}.") for i in range(whole(o, "classes.count", 0))),
+        tenants=tuple(
+            mi.Tenant(
+                name=word(o, f"orgs.{i}.name"),
+                share=decimal(o, f"orgs.{i}.fraction", 0.0),
+                quota_per_s=decimal(o, f"orgs.{i}.quota_per_s", 0.0),
+            )
+            for i in range(whole(o, "orgs.count", 0))
+        ),
+        limits=mi.Limits(
+            max_attempts=whole(o, "allowed.attempts_cap", 1),
+            max_open=whole(o, "allowed.max_open", 1 << 30),
+            cancel=flag(o.get("allowed.cancel")),
+            second_copies=flag(o.get("allowed.parallel_tries")),
+            probes=flag(o.get("allowed.probes")),
+            peers=flag(o.get("allowed.peers")),
+            retry_after=flag(o.get("allowed.retry_after")),
+            max_retry_after_ns=whole(o, "allowed.max_retry_after_ns", 0),
+            connect_timeout_ns=whole(o, "allowed.connect_timeout_ns", 0),
+            idle_ns=whole(o, "allowed.conn_idle_ns", 0),
+            requests_per_connection=whole(o, "allowed.multiplex", 1),
+        ),
+        contract=mi.Contract(
+            answer_slack_ns=whole(o, "contract.answer_slack_ns", 0),
+            drain_grace_ns=whole(o, "contract.drain_grace_ns", 0),
+            cold_share=decimal(o, "contract.cold_share", 1.0),
+            cold_ns=whole(o, "contract.cold_ns", 0),
+            overload_factor=decimal(o, "contract.overload_factor", 3.0),
+            fall_ns=whole(o, "contract.fall_ns", mi.NS_PER_S),
+            must_ask_ns=whole(o, "contract.must_ask_in_ns", 0),
+        ),
+        prices=mi.Prices(
+            cross_zone=decimal(o, "prices.cross_zone", 0.0),
+            waste=decimal(o, "prices.waste", 0.0),
+            late_fail=decimal(o, "prices.late_fail", 0.0),
+            probe=decimal(o, "prices.probe", 0.0),
+            handshake=decimal(o, "prices.handshake", 0.0),
+            connection=decimal(o, "prices.connection", 0.0),
+        ),
+        balancers=whole(o, "balancers", 1),
+        zone=o.get("zone", ""),
+        ask_for_list=o.get("membership_mode") == "ask",
+        sized_weights=o.get("weight_source") in ("nominal", "rough"),
+        report_fields=tuple(REPORT_NAMES.get(f, f) for f in o.get("report.fields", "").split(",") if f),
+        over_share_worth=decimal(o, "over_share_worth", 1.0),
+        resolution_ns=whole(o, "resolution_ns", mi.NS_PER_MS),
+        marks_retries=flag(o.get("clients.marks_retry")),
+    )
+
+
+# ---- the real sidecar's configuration
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """A configuration that no sidecar can start with; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that one sidecar is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: mi.Settings
+    known: dict  # in discovery's form
+    sockets: int = 1024
+    memory_mb: int = 0
+
+
+def read_address(text: str) -> Address:
+    """`host:port`, the host in brackets if it is IPv6."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not (port.isascii() and port.isdigit()) or not 0 <= int(port) <= 65535:
+        raise ValueError(f"{text!r} is no host:port")
+    return host.strip("[]"), int(port)
+
+
+def flatten(value: object, at: str = "") -> Fields:
+    """Nested JSON as the simulator's path=value pairs, so that one reader serves both."""
+    if isinstance(value, Mapping):
+        pairs: Fields = {}
+        for name, item in value.items():
+            pairs |= flatten(item, f"{at}.{name}" if at else str(name))
+        return pairs
+    if isinstance(value, list):
+        if any(isinstance(item, Mapping) for item in value):
+            pairs = {f"{at}.count": str(len(value))}
+            for i, item in enumerate(value):
+                pairs |= flatten(item, f"{at}.{i}")
+            return pairs
+        return {at: ",".join(_plain(item) for item in value)}
+    return {} if value is None else {at: _plain(value)}
+
+
+def _plain(value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, float) and value.is_integer():
+        return str(int(value))
+    return str(value)
+
+
+def _seed(value: object) -> int:
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        return crc32(str(value).encode())
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Read the file that NODE_CONFIG names; the other variables stand above what it says."""
+    path = environment.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG names no file")
+    try:
+        told = json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as fault:
+        raise ConfigError(f"{path} cannot be read: {' '.join(str(fault).split())}") from None
+    if not isinstance(told, dict):
+        raise ConfigError(f"{path} holds no object")
+    try:
+        settings = read_settings(flatten(told.get("settings") or {}))
+        if not settings.classes:
+            raise ValueError("the settings name no classes")
+        limits = told.get("limits") or {}
+        known = told.get("known") or {}
+        if not isinstance(limits, dict) or not isinstance(known, dict):
+            raise ValueError("limits and known are objects")
+        return Config(
+            name=str(environment.get("NODE_NAME") or told.get("name") or "sidecar"),
+            listen=read_address(str(environment.get("NODE_LISTEN") or told.get("listen") or "")),
+            discovery=read_address(str(environment.get("NODE_DISCOVERY") or told.get("discovery") or "")),
+            seed=_seed(told.get("seed", "")),
+            settings=settings,
+            known=known,
+            sockets=int(limits.get("sockets") or 1024),
+            memory_mb=int(limits.get("memory_mb") or 0),
+        )
+    except (ValueError, TypeError, OverflowError) as fault:
+        raise ConfigError(f"{path}: {' '.join(str(fault).split())}") from None
--- a/iristrack/drill.py
+++ b/iristrack/drill.py
@@ -14,6 +14,7 @@
 
 from iristrack import interface as mi
 from iristrack.balance import Balancer
+from iristrack.config import REPORT_NAMES, Fields, WireError, decimal, flag, read_settings, whole, word
 
 OUTCOMES = {
     "0": mi.Outcome.ERROR,
@@ -25,7 +26,6 @@
     "6": mi.Outcome.CANCELLED,
     "7": mi.Outcome.NOT_SENT,
 }
-REPEATS = {"free": mi.Repeat.SAFE, "guarded": mi.Repeat.KEYED, "single_shot": mi.Repeat.UNSAFE}
 STATES = {
     "healthy": mi.ServerState.READY,
     "cordoned": mi.ServerState.DRAINING,
@@ -37,24 +37,6 @@
     "C": mi.ListKind.CACHED,
     "X": mi.ListKind.FAILED,
 }
-REPORT_NAMES = {
-    "active": "inflight",
-    "waiting": "queue",
-    "cpu": "util",
-    "avg_ms": "latency_ms",
-    "rps": "qps",
-    "err_rps": "eps",
-}
-
-Fields = dict[str, str]
-
-
-class WireError(Exception):
-    """A line that cannot be read."""
-
-
-def _flag(text: str | None) -> bool:
-    return text in ("1", "true")
 
 
 def _pick(table: dict, fields: Fields, name: str):
@@ -64,35 +46,6 @@
         raise WireError(f"{name}={fields.get(name)!r} is not known") from None
 
 
-def _int(fields: Fields, name: str, default: int | None = None) -> int:
-    text = fields.get(name)
-    if text is None:
-        if default is None:
-            raise WireError(f"field {name} is missing")
-        return default
-    try:
-        return int(text)
-    except ValueError:
-        raise WireError(f"{name}={text!r} is no whole number") from None
-
-
-def _float(fields: Fields, name: str, default: float) -> float:
-    text = fields.get(name)
-    if not text:
-        return default
-    try:
-        return float(text)
-    except ValueError:
-        raise WireError(f"{name}={text!r} is no number") from None
-
-
-def _text(fields: Fields, name: str) -> str:
-    try:
-        return fields[name]
-    except KeyError:
-        raise WireError(f"field {name} is missing") from None
-
-
 def _report(text: str | None) -> dict[str, float] | None:
     if not text:
         return None
@@ -106,122 +59,53 @@
     return report
 
 
-def _class(options: Fields, at: str) -> mi.RequestClass:
-    return mi.RequestClass(
-        name=_text(options, at + "name"),
-        aim_ns=_int(options, at + "promise_ns"),
-        deadline_ns=_int(options, at + "deadline_ns"),
-        worth=_float(options, at + "worth", 1.0),
-        late_share=_float(options, at + "late_share", 0.0),
-        aim_stretch=_float(options, at + "aim_stretch", 0.0),
-        repeat=REPEATS.get(options.get(at + "repeat", ""), mi.Repeat.UNSAFE),
-        group=mi.Group(options.get(at + "group") or "all"),
-        memory_ns=_int(options, at + "memory_span_ns", 0),
-        stream=_flag(options.get(at + "stream")),
-    )
-
-
-def read_settings(options: Fields) -> mi.Settings:
-    """Translate the start message's settings; what is unknown is skipped, what is absent gets its default."""
-    o = options
-    return mi.Settings(
-        classes=tuple(_class(o, f"classes.{i}.") for i in range(_int(o, "classes.count", 0))),
-        tenants=tuple(
-            mi.Tenant(
-                name=_text(o, f"orgs.{i}.name"),
-                share=_float(o, f"orgs.{i}.fraction", 0.0),
-                quota_per_s=_float(o, f"orgs.{i}.quota_per_s", 0.0),
-            )
-            for i in range(_int(o, "orgs.count", 0))
-        ),
-        limits=mi.Limits(
-            max_attempts=_int(o, "allowed.attempts_cap", 1),
-            max_open=_int(o, "allowed.max_open", 1 << 30),
-            cancel=_flag(o.get("allowed.cancel")),
-            second_copies=_flag(o.get("allowed.parallel_tries")),
-            probes=_flag(o.get("allowed.probes")),
-            peers=_flag(o.get("allowed.peers")),
-            retry_after=_flag(o.get("allowed.retry_after")),
-            max_retry_after_ns=_int(o, "allowed.max_retry_after_ns", 0),
-            connect_timeout_ns=_int(o, "allowed.connect_timeout_ns", 0),
-            idle_ns=_int(o, "allowed.conn_idle_ns", 0),
-            requests_per_connection=_int(o, "allowed.multiplex", 1),
-        ),
-        contract=mi.Contract(
-            answer_slack_ns=_int(o, "contract.answer_slack_ns", 0),
-            drain_grace_ns=_int(o, "contract.drain_grace_ns", 0),
-            cold_share=_float(o, "contract.cold_share", 1.0),
-            cold_ns=_int(o, "contract.cold_ns", 0),
-            overload_factor=_float(o, "contract.overload_factor", 3.0),
-            fall_ns=_int(o, "contract.fall_ns", mi.NS_PER_S),
-            must_ask_ns=_int(o, "contract.must_ask_in_ns", 0),
-        ),
-        prices=mi.Prices(
-            cross_zone=_float(o, "prices.cross_zone", 0.0),
-            waste=_float(o, "prices.waste", 0.0),
-            late_fail=_float(o, "prices.late_fail", 0.0),
-            probe=_float(o, "prices.probe", 0.0),
-            handshake=_float(o, "prices.handshake", 0.0),
-            connection=_float(o, "prices.connection", 0.0),
-        ),
-        balancers=_int(o, "balancers", 1),
-        zone=o.get("zone", ""),
-        ask_for_list=o.get("membership_mode") == "ask",
-        sized_weights=o.get("weight_source") in ("nominal", "rough"),
-        report_fields=tuple(REPORT_NAMES.get(f, f) for f in o.get("report.fields", "").split(",") if f),
-        over_share_worth=_float(o, "over_share_worth", 1.0),
-        resolution_ns=_int(o, "resolution_ns", mi.NS_PER_MS),
-        marks_retries=_flag(o.get("clients.marks_retry")),
-    )
-
-
 def _entry(f: Fields) -> mi.ServerEntry:
     return mi.ServerEntry(
-        server=_text(f, "server"),
+        server=word(f, "server"),
         state=_pick(STATES, f, "lifecycle"),
         zone=f.get("campus", ""),
-        cell=_int(f, "pod", -1),
-        weight=_float(f, "share", 1.0),
-        started_ns=_int(f, "start_time_ns", 0),
+        cell=whole(f, "pod", -1),
+        weight=decimal(f, "share", 1.0),
+        started_ns=whole(f, "start_time_ns", 0),
     )
 
 
 def _request(f: Fields) -> mi.Request:
     return mi.Request(
-        id=_text(f, "id"),
-        request_class=_text(f, "category"),
-        give_up_ns=_int(f, "not_after_ns"),
+        id=word(f, "id"),
+        request_class=word(f, "category"),
+        give_up_ns=whole(f, "not_after_ns"),
         key=f.get("partition_key"),
         tenant=f.get("client_group"),
-        work_hint_ns=_int(f, "predicted_ns", 0),
-        retry=_flag(f.get("resent")),
-        write=_flag(f.get("update")),
+        work_hint_ns=whole(f, "predicted_ns", 0),
+        retry=flag(f.get("resent")),
+        write=flag(f.get("update")),
     )
 
 
 def _started(f: Fields) -> mi.AttemptStarted:
     return mi.AttemptStarted(
-        _text(f, "id"), _int(f, "copy", 0), _text(f, "server"), _int(f, "time_taken_ns", 0)
+        word(f, "id"), whole(f, "copy", 0), word(f, "server"), whole(f, "time_taken_ns", 0)
     )
 
 
 def _ended(f: Fields) -> mi.AttemptEnded:
     return mi.AttemptEnded(
-        id=_text(f, "id"),
-        attempt=_int(f, "copy", 0),
-        server=_text(f, "server"),
+        id=word(f, "id"),
+        attempt=whole(f, "copy", 0),
+        server=word(f, "server"),
         outcome=_pick(OUTCOMES, f, "verdict"),
-        final=_flag(f.get("final")),
-        latency_ns=_int(f, "time_taken_ns", 0),
+        final=flag(f.get("final")),
+        latency_ns=whole(f, "time_taken_ns", 0),
         report=_report(f.get("report")),
     )
 
 
 def _probed(f: Fields) -> mi.ProbeEnded:
     return mi.ProbeEnded(
-        server=_text(f, "server"),
+        server=word(f, "server"),
         outcome=_pick(OUTCOMES, f, "verdict"),
-        latency_ns=_int(f, "time_taken_ns", 0),
+        latency_ns=whole(f, "time_taken_ns", 0),
         report=_report(f.get("report")),
     )
 
@@ -232,15 +116,15 @@
         data = b"" if octets == "-" else base64.b64decode(octets, validate=True)
     except binascii.Error:
         raise WireError(f"octets={octets!r} is no base64") from None
-    return mi.PeerMessage(_int(f, "src", 0), data)
+    return mi.PeerMessage(whole(f, "src", 0), data)
 
 
 READERS: dict[str, Callable[[Fields], mi.Event]] = {
     "DEMAND": _request,
     "HEADERS": _started,
     "ENDED": _ended,
-    "ABORTED": lambda f: mi.ClientGone(_text(f, "id")),
-    "WAKEUP": lambda f: mi.TimerFired(_int(f, "handle")),
+    "ABORTED": lambda f: mi.ClientGone(word(f, "id")),
+    "WAKEUP": lambda f: mi.TimerFired(whole(f, "handle")),
     "HEALTH_RESULT": _probed,
     "WHISPER": _peer,
 }
@@ -308,7 +192,7 @@
         if name == "BATCH":
             if self.now is not None:
                 raise WireError("a batch begins inside a batch")
-            self.now = _int(fields, "at_time_ns")
+            self.now = whole(fields, "at_time_ns")
             self.instance = self.last_from = None
             self.reply = []
             return None
@@ -319,11 +203,11 @@
             self.reply.append("FINISHED")
             return self.reply
         if name == "AT":
-            self.instance = _text(fields, "sidecar")
+            self.instance = word(fields, "sidecar")
         elif name == "REGISTER":
-            self.set_id = _int(fields, "set_id")
+            self.set_id = whole(fields, "set_id")
             self.items = []
-            self.items_due = _int(fields, "members_list", 0)
+            self.items_due = whole(fields, "members_list", 0)
             self.lists[self.set_id] = ()
         elif name == "ITEM":
             self._item(fields)
@@ -346,7 +230,7 @@
         if instance is None:
             raise WireError(f"{name} before any instance is named")
         if name == "BOOT":
-            seed = _int(fields, "random_seed")
+            seed = whole(fields, "random_seed")
             self._guard(lambda: self.balancers.__setitem__(instance, Balancer(read_settings(fields), seed)))
             return
         balancer = self.balancers.get(instance)
@@ -366,10 +250,10 @@
 
     def _server_list(self, fields: Fields) -> mi.ServerList:
         kind = _pick(LIST_KINDS, fields, "kind")
-        version = _int(fields, "gen", 0)
+        version = whole(fields, "gen", 0)
         if kind is mi.ListKind.FAILED:
             return mi.ServerList(kind, (), version)
-        servers = self.lists.get(_int(fields, "set_id"))
+        servers = self.lists.get(whole(fields, "set_id"))
         if servers is None:
             raise WireError(f"list {fields['set_id']} was never given")
         return mi.ServerList(kind, servers, version)
--- /dev/null
+++ b/iristrack/net/front.py
@@ -0,0 +1,355 @@
+"""The terminal's side over HTTP/1.1: listener, platform headers and final answers.
+
+This file owns the clients' connections: it turns requests into transactions and answers back into bytes, one
+for each request. It must never talk to a pool server or decide what becomes of a well-formed request; what is
+no request of the platform's it turns away itself. Another front would stand beside it, on the same core.
+"""
+
+from __future__ import annotations
+
+import re
+import socket
+
+from loguru import logger
+
+from iristrack import interface as mi
+from iristrack.config import Address
+from iristrack.net import http
+from iristrack.net.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock
+from iristrack.net.sidecar import OWN_DESCRIPTORS, Answer, Ending, Sidecar, Transaction
+
+IDLE_NS = 120 * mi.NS_PER_S  # a client's connection without a request is closed after so long
+REQUEST_NS = 10 * mi.NS_PER_S  # a request that has begun must be whole by then
+WRITE_NS = 5 * mi.NS_PER_S  # and its answer taken
+STOP_GRACE_NS = 500 * mi.NS_PER_MS  # the platform lets connections come for up to 400 ms after SIGTERM
+PAUSE_NS = 50 * mi.NS_PER_MS  # between failed accepts
+BACKLOG = 1024
+ACCEPTS = 32  # most connections taken in one turn
+RECEIVE = 64 * 1024
+LONGEST_BUDGET_NS = 3600 * mi.NS_PER_S
+
+_TARGET = re.compile(rb"/api/(?:[^?#]*/)?([^/?#]+)(?:\?[^#]*)?\Z")
+_ID = re.compile(rb"[\x21-\x7e]{1,200}\Z")
+_BUDGET = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,9})?)([mu])\Z")
+_UNIT_NS = {b"m": mi.NS_PER_MS, b"u": 1000}
+_REPLACED = frozenset({b"x-budget"})
+_ONCE = frozenset(
+    {b"x-call-id", b"x-call-class", b"x-caller", b"x-budget", b"idempotency-key", b"x-again", b"x-call-info"}
+)
+_PLAIN = b"Content-Type: text/plain\r\n"
+
+
+class _Terminal:
+    """One client connection."""
+
+    __slots__ = ("answer", "fd", "leftover", "reader", "sock", "task")
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.fd = sock.fileno()
+        self.reader = http.Reader()
+        self.task: Task | None = None
+        self.answer: Answer | None = None
+
+
+class HttpFront:
+    """Listens for the application next to this sidecar."""
+
+    def __init__(self, scheduler: Scheduler, sidecar: Sidecar, listen: Address) -> None:
+        """Nothing is opened before `start`."""
+        self.scheduler = scheduler
+        self.sidecar = sidecar
+        self.listen = listen
+        self.terminals: set[_Terminal] = set()
+        self.most = max(8, (sidecar.config.sockets - OWN_DESCRIPTORS) // 2)
+        self.stopping = False
+        self._listener: socket.socket | None = None
+        self._accepting = False
+        self._repeats = {c.name: c.repeat for c in sidecar.settings.classes}
+
+    # ---- life
+
+    def start(self) -> None:
+        """Listen; raises `OSError` where the address cannot be had."""
+        family = socket.AF_INET6 if ":" in self.listen[0] else socket.AF_INET
+        self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._listener.bind(self.listen)
+        self._listener.listen(BACKLOG)
+        self._resume_accepting()
+
+    def stop(self) -> None:
+        """Go on as before for the grace, then take nothing new; the loop ends with the last answer."""
+        if not self.stopping:
+            self.stopping = True
+            logger.info("stopping: {} transactions are in flight", len(self.sidecar.transactions))
+            self.scheduler.call_at(clock() + STOP_GRACE_NS, self._close_listener)
+
+    def _close_listener(self) -> None:
+        while self._accepting and self._accept():  # what the kernel has accepted already is taken
+            pass
+        self._pause_accepting()
+        self._listener.close()
+        self._listener = None
+        for terminal in list(self.terminals):
+            if terminal.reader.empty and terminal.task is not None:
+                terminal.task.wake()  # those between requests: they look, and end
+        self._end_if_done()
+
+    def _end_if_done(self) -> None:
+        if self.stopping and self._listener is None and not self.terminals:
+            self.sidecar.stop()
+            self.scheduler.stop()
+
+    @property
+    def closing(self) -> bool:
+        """Is it past the grace, so that connections end with the answer that they wait for?"""
+        return self.stopping and self._listener is None
+
+    # ---- connections
+
+    def _resume_accepting(self) -> None:
+        if self._listener is not None and not self._accepting and len(self.terminals) < self.most:
+            self._accepting = True
+            self.scheduler.watch(self._listener.fileno(), self._accept)
+
+    def _pause_accepting(self) -> None:
+        if self._accepting:
+            self._accepting = False
+            self.scheduler.unwatch(self._listener.fileno())
+
+    def _accept(self) -> bool:
+        """Take what has come, never past the bound; true if there may be more."""
+        for _ in range(ACCEPTS):
+            if len(self.terminals) >= self.most:
+                # Guards the descriptors: an accept that fails for want of one would spin the loop.
+                self._pause_accepting()
+                return False
+            try:
+                sock, _ = self._listener.accept()
+            except BlockingIOError:
+                return False
+            except OSError as fault:
+                logger.warning("accept failed: {}", fault)
+                self._pause_accepting()
+                self.scheduler.call_at(clock() + PAUSE_NS, self._resume_accepting)
+                return False
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            terminal = _Terminal(sock)
+            self.terminals.add(terminal)
+            terminal.task = self.scheduler.spawn("terminal", self._serve, terminal)
+        return True
+
+    def _serve(self, terminal: _Terminal) -> None:
+        """One connection's life: request after request, one answer each."""
+        try:
+            while True:
+                message = self._read(terminal)
+                if message is None or not self._exchange(terminal, message):
+                    return
+        except http.Malformed as fault:
+            self._refuse_bytes(terminal, fault.status, str(fault))
+        except (OSError, http.Truncated, Cancelled):
+            pass  # the client left, or is too slow to matter
+        except Exception:
+            # Guards the process and the transaction: whatever goes wrong here ends as a 500 for it alone.
+            logger.exception("a terminal's request failed")
+            self._refuse_bytes(terminal, 500, "internal error")
+        finally:
+            terminal.sock.close()
+            self.terminals.discard(terminal)
+            self._resume_accepting()
+            self._end_if_done()
+
+    def _refuse_bytes(self, terminal: _Terminal, status: int, reason: str) -> None:
+        """Answer what is no request and end the connection; what follows on it could be read as anything."""
+        try:
+            self._write(terminal, http.response(status, reason.encode() + b"\n", _PLAIN, close=True))
+            # Let the answer arrive: closing over unread bytes would reset the connection first.
+            terminal.sock.shutdown(socket.SHUT_WR)
+            deadline = clock() + PAUSE_NS
+            for _ in range(16):
+                self.scheduler.wait(terminal.fd, READ, deadline)
+                if not terminal.sock.recv(RECEIVE):
+                    return
+        except (OSError, Cancelled):
+            return
+
+    def _read(self, terminal: _Terminal) -> http.Message | None:
+        """The next request; None when the connection is over."""
+        reader = terminal.reader
+        message = reader.feed(b"")
+        deadline, begun, continued = clock() + IDLE_NS, False, False
+        while message is None:
+            if self.closing and reader.empty and not self._readable(terminal):
+                return None
+            if not begun and not reader.empty:
+                begun, deadline = True, clock() + REQUEST_NS
+            head = reader.awaiting_body
+            if (
+                head is not None
+                and not continued
+                and head.fields.get(b"expect", b"").lower() == b"100-continue"
+            ):
+                continued = True
+                self._write(terminal, b"HTTP/1.1 100 Continue\r\n\r\n")
+            try:
+                self.scheduler.wait(terminal.fd, READ, deadline)
+                data = terminal.sock.recv(RECEIVE)
+            except BlockingIOError:
+                continue
+            except TimeoutError:
+                if reader.empty:
+                    return None
+                raise http.Malformed(408, "the request did not become whole in time") from None
+            message = reader.feed(data) if data else reader.end()
+            if message is None and not data:
+                return None
+        return message
+
+    @staticmethod
+    def _readable(terminal: _Terminal) -> bool:
+        try:
+            return bool(terminal.sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return False
+
+    def _write(self, terminal: _Terminal, data: bytes) -> None:
+        sent, deadline = 0, 0
+        while True:
+            try:
+                sent += terminal.sock.send(data[sent:] if sent else data)
+            except BlockingIOError:
+                pass
+            if sent == len(data):
+                return
+            deadline = deadline or clock() + WRITE_NS
+            self.scheduler.wait(terminal.fd, WRITE, deadline)
+
+    # ---- requests
+
+    def _exchange(self, terminal: _Terminal, message: http.Message) -> bool:
+        """Answer one request; false when the connection ends with it."""
+        head = message.head
+        arrived = clock()
+        keep = head.keeps_alive
+        if head.target == b"/_health":
+            if head.method not in (b"GET", b"HEAD"):
+                raise http.Malformed(405, "GET only")
+            status = 200 if self.sidecar.ready else 503
+            self._write(terminal, http.response(status, b"", _PLAIN, close=not keep or self.closing))
+            return keep and not self.closing
+        transaction = self._transaction(terminal, message, arrived)
+        terminal.answer = None
+        if not self.sidecar.submit(transaction):
+            data = http.response(409, b"this call id is in flight\n", _PLAIN, close=not keep or self.closing)
+            self._write(terminal, data)
+            return keep and not self.closing
+        if not self._await_answer(terminal, transaction):
+            return False
+        keep = keep and not self.closing
+        self._write(terminal, _answer_bytes(terminal.answer, close=not keep))
+        return keep
+
+    def _await_answer(self, terminal: _Terminal, transaction: Transaction) -> bool:
+        """Wait for the core, and see it when the client hangs up meanwhile; false if it did."""
+        fd = terminal.fd
+        try:
+            while terminal.answer is None:
+                try:
+                    if not self.scheduler.wait(fd, READ, transaction.give_up_ns):
+                        continue
+                    data = terminal.sock.recv(RECEIVE, socket.MSG_PEEK)
+                except BlockingIOError:
+                    continue
+                except TimeoutError:
+                    self.sidecar.expire(transaction)
+                    break
+                if not data:
+                    self.sidecar.hang_up(transaction)
+                    return False
+                fd = -1  # an early next request: it stays in the kernel until this one is answered
+        except BaseException:
+            self.sidecar.hang_up(transaction)
+            raise
+        return terminal.answer is not None
+
+    def _transaction(self, terminal: _Terminal, message: http.Message, arrived: int) -> Transaction:
+        """Read the platform's headers."""
+        head = message.head
+        fields = head.fields
+        place = _TARGET.match(head.target)
+        if place is None:
+            raise http.Malformed(404, "no such path")
+        if head.method not in (b"GET", b"POST"):
+            raise http.Malformed(405, "GET or POST only")
+        if head.repeated & _ONCE:
+            raise http.Malformed(400, "a platform header stands twice")
+        call_id, name, budget = (fields.get(n, b"") for n in (b"x-call-id", b"x-call-class", b"x-budget"))
+        if not _ID.match(call_id) or not _ID.match(name):
+            raise http.Malformed(400, "X-Call-Id and X-Call-Class are needed")
+        patience = _BUDGET.match(budget)
+        if patience is None:
+            raise http.Malformed(400, "X-Budget is needed: a number and m or u")
+        tenant = fields.get(b"x-caller")
+        if (tenant is None and self.sidecar.settings.tenants) or (
+            tenant is not None and not _ID.match(tenant)
+        ):
+            raise http.Malformed(400, "X-Caller is needed")
+        class_name = name.decode("latin-1")
+        repeat = self._repeats.get(class_name)
+        wanted = {mi.Repeat.SAFE: b"GET", mi.Repeat.KEYED: b"POST"}.get(repeat, head.method)
+        if head.method != wanted:
+            raise http.Malformed(405, "the class decides the method")
+        if repeat is mi.Repeat.KEYED and not fields.get(b"idempotency-key"):
+            raise http.Malformed(400, "Idempotency-Key is needed")
+        budget_ns = min(int(float(patience[1]) * _UNIT_NS[patience[2]]), LONGEST_BUDGET_NS)
+        further = _further(fields.get(b"x-call-info"))
+        lines, body = head.passed_on(_REPLACED), message.body
+
+        def encode(left_ns: int) -> bytes:
+            left = b"X-Budget: %dm\r\n" % max(1, left_ns // mi.NS_PER_MS)
+            return http.request(head.method, head.target, lines + left, body)
+
+        def deliver(answer: Answer) -> None:
+            terminal.answer = answer
+            if terminal.task is not self.scheduler.current:
+                terminal.task.wake()
+
+        return Transaction(
+            call_id.decode("latin-1"),
+            class_name,
+            arrived + budget_ns,
+            encode,
+            deliver,
+            key=place[1].decode("latin-1"),
+            tenant=None if tenant is None else tenant.decode("latin-1"),
+            retry=fields.get(b"x-again") == b"1",
+            work_hint_ns=further.get("predicted_ns", 0),
+            write=bool(further.get("update", 0)),
+        )
+
+
+def _further(text: bytes | None) -> dict[str, int]:
+    """`name=value,name=value`: whole numbers, others are not ours to read."""
+    further: dict[str, int] = {}
+    for pair in (text or b"").split(b","):
+        name, _, value = pair.strip().partition(b"=")
+        if value.isdigit() and len(value) < 19:
+            further[name.decode("latin-1")] = int(value)
+    return further
+
+
+def _answer_bytes(answer: Answer, close: bool) -> bytes:
+    if answer.ending is Ending.SERVED:
+        lines = b"Content-Type: %b\r\n" % answer.media_type if answer.media_type else b""
+        return http.response(200, answer.body, lines, close)
+    if answer.ending is Ending.SHORT:
+        lines = _PLAIN
+        if answer.retry_after_ns:
+            lines += b"Retry-After: %.3f\r\n" % (answer.retry_after_ns / mi.NS_PER_S)
+        return http.response(503, b"short on capacity\n", lines, close)
+    status = 500 if answer.fault else 504 if answer.late else 502
+    return http.response(status, b"failed\n", _PLAIN, close)
--- /dev/null
+++ b/iristrack/net/http.py
@@ -0,0 +1,280 @@
+"""HTTP/1.1 parsers and writers: functions of bytes, without sockets, time or the platform's header names.
+
+This file owns what is a well-formed message and where it ends. It must never read or write a socket, and it
+knows nothing of transactions, classes or pool servers: the platform's headers belong to the front.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 64 * 1024
+MAX_CHUNK_LINE = 256
+
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_REQUEST_LINE = re.compile(rb"(" + _TOKEN + rb") ([\x21-\x7e]+) HTTP/1\.([01])\Z")
+_ANY_REQUEST_LINE = re.compile(rb"" + _TOKEN + rb" [\x21-\x7e]+ HTTP/\d\.\d\Z")
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5]\d\d)(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\Z")
+_FIELD = re.compile(rb"(" + _TOKEN + rb"):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r\n")
+_DIGITS = re.compile(rb"[0-9]{1,18}\Z")
+_CHUNK = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?\Z")
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
+        b"transfer-encoding", b"content-length",
+    }
+)  # fmt: skip
+
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable",
+    504: b"Gateway Timeout", 505: b"HTTP Version Not Supported",
+}  # fmt: skip
+
+
+class Malformed(Exception):
+    """Bytes that are no acceptable message; `status` is what a server answers to them."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        """`reason` is for people."""
+        super().__init__(reason)
+        self.status = status
+
+
+class Truncated(Exception):
+    """The connection ended inside a message."""
+
+
+@dataclass(slots=True)
+class Head:
+    """The start of a message: its lines as they came, and its fields by lower-case name."""
+
+    raw: bytes  # all header lines, each with its line end, without the first line
+    fields: dict[bytes, bytes]
+    repeated: frozenset[bytes]
+    spans: list[tuple[bytes, int, int]]  # name, start and end of each line in `raw`
+    version: int  # the minor one
+    method: bytes = b""
+    target: bytes = b""
+    status: int = 0
+
+    @property
+    def keeps_alive(self) -> bool:
+        """Does the sender mean to go on using the connection?"""
+        options = [o.strip().lower() for o in self.fields.get(b"connection", b"").split(b",")]
+        if b"close" in options:
+            return False
+        return self.version == 1 or b"keep-alive" in options
+
+    def passed_on(self, without: frozenset[bytes]) -> bytes:
+        """The lines for the next hop, as the bytes that came: all but `without` and hop-by-hop ones."""
+        named = self.fields.get(b"connection", b"").lower()
+        parts, at = [], 0
+        for name, start, end in self.spans:
+            if name in _HOP_BY_HOP or name in without or (named and name in re.split(rb"[ \t,]+", named)):
+                parts.append(self.raw[at:start])
+                at = end
+        parts.append(self.raw[at:])
+        return b"".join(parts)
+
+
+@dataclass(slots=True)
+class Message:
+    """A whole message."""
+
+    head: Head
+    body: bytes
+
+
+def parse_head(block: bytes, response: bool) -> Head:
+    """Read a message's first lines: `block` ends before the empty line, with the last line's end."""
+    line, _, raw = block.partition(b"\r\n")
+    head = Head(raw, {}, frozenset(), [], 1)
+    if response:
+        match = _STATUS_LINE.match(line)
+        if match is None:
+            raise Malformed(502, "no status line")
+        head.version, head.status = int(match[1]), int(match[2])
+    else:
+        match = _REQUEST_LINE.match(line)
+        if match is None:
+            if _ANY_REQUEST_LINE.match(line):
+                raise Malformed(505, "not HTTP/1")
+            raise Malformed(400, "no request line")
+        head.method, head.target, head.version = match[1], match[2], int(match[3])
+    fields, spans, repeated, at = head.fields, head.spans, [], 0
+    for match in _FIELD.finditer(raw):
+        if match.start() != at:
+            break
+        at = match.end()
+        name = match[1].lower()
+        if name in fields:
+            repeated.append(name)
+        else:
+            fields[name] = match[2]
+        spans.append((name, match.start(), at))
+    if at != len(raw):
+        raise Malformed(400, "a header line that cannot be read")
+    head.repeated = frozenset(repeated)
+    return head
+
+
+def body_length(head: Head, limit: int) -> int | None:
+    """How long the body is; None when it comes in chunks, -1 when only the connection's end tells."""
+    coding = head.fields.get(b"transfer-encoding")
+    length = head.fields.get(b"content-length")
+    if coding is not None:
+        # Guards against request smuggling: two parties must never see a message end at different places.
+        if length is not None or b"transfer-encoding" in head.repeated:
+            raise Malformed(400, "Transfer-Encoding with Content-Length, or twice")
+        if coding.lower() != b"chunked" or head.version == 0:
+            raise Malformed(400, "a transfer coding other than chunked")
+        return None
+    if length is not None:
+        if b"content-length" in head.repeated or not _DIGITS.match(length):
+            raise Malformed(400, "Content-Length cannot be read")
+        size = int(length)
+        if size > limit:
+            raise Malformed(413, "the body is too large")
+        return size
+    if head.status and not (head.status in (204, 304) or head.status < 200):
+        return -1
+    return 0
+
+
+class Reader:
+    """Takes bytes as they come and gives whole messages; the rest of the bytes stays for the next one."""
+
+    __slots__ = ("_at", "_body", "_buffer", "_head", "_left", "_limit", "_response", "_state")
+
+    def __init__(self, response: bool = False, limit: int = MAX_BODY) -> None:
+        """For requests, or for responses; a body may hold `limit` bytes."""
+        self._response = response
+        self._limit = limit
+        self._buffer = bytearray()
+        self._reset()
+
+    def _reset(self) -> None:
+        self._head: Head | None = None
+        self._left: int | None = 0
+        self._body = bytearray()
+        self._at = 0  # where the search for the head's end goes on
+        self._state = "size"  # of a chunked body: size, data, data_end or trailer
+
+    @property
+    def empty(self) -> bool:
+        """Is it between messages, with nothing left over?"""
+        return self._head is None and not self._buffer
+
+    @property
+    def awaiting_body(self) -> Head | None:
+        """The head, if it is there and its body is not."""
+        return self._head
+
+    def feed(self, data: bytes) -> Message | None:
+        """Take bytes (none: look at those that were left over); a message once one is whole."""
+        self._buffer += data
+        while True:
+            if self._head is None and not self._take_head():
+                return None
+            head = self._head
+            if self._left is None:
+                if not self._take_chunks():
+                    return None
+                body = bytes(self._body)
+            elif self._left < 0:
+                if len(self._buffer) > self._limit:
+                    raise Malformed(413, "the body is too large")
+                return None
+            elif len(self._buffer) >= self._left:
+                body = bytes(self._buffer[: self._left])
+                del self._buffer[: self._left]
+            else:
+                return None
+            self._reset()
+            if not 100 <= head.status < 200:
+                return Message(head, body)
+
+    def end(self) -> Message | None:
+        """The connection ended: the message that this completes, if any; raises `Truncated` inside one."""
+        if self._head is not None and self._left == -1:
+            message = Message(self._head, bytes(self._buffer))
+            self._buffer.clear()
+            self._reset()
+            return message
+        if not self.empty:
+            raise Truncated("the connection ended inside a message")
+        return None
+
+    def _take_head(self) -> bool:
+        buffer = self._buffer
+        while not self._response and buffer[:2] == b"\r\n":  # an empty line before a request is allowed
+            del buffer[:2]
+        end = buffer.find(b"\r\n\r\n", max(0, self._at - 3))
+        if end < 0 or end > MAX_HEAD:
+            if len(buffer) > MAX_HEAD:
+                raise Malformed(431, "the header is too large")
+            self._at = len(buffer)
+            return False
+        head = parse_head(bytes(buffer[: end + 2]), self._response)
+        self._left = body_length(head, self._limit)
+        self._head = head
+        del buffer[: end + 4]
+        return True
+
+    def _line(self) -> bytes | None:
+        end = self._buffer.find(b"\r\n")
+        if end < 0 or end > MAX_CHUNK_LINE:
+            if len(self._buffer) > MAX_CHUNK_LINE:
+                raise Malformed(400, "a chunk's line is too long")
+            return None
+        line = bytes(self._buffer[:end])
+        del self._buffer[: end + 2]
+        return line
+
+    def _take_chunks(self) -> bool:
+        """Move whole chunks to the body; true once the last one and the trailer are there."""
+        while True:
+            if self._state == "data":
+                if len(self._buffer) < self._at + 2:
+                    return False
+                if self._buffer[self._at : self._at + 2] != b"\r\n":
+                    raise Malformed(400, "a chunk is longer than it says")
+                self._body += self._buffer[: self._at]
+                del self._buffer[: self._at + 2]
+                self._state = "size"
+            line = self._line()
+            if line is None:
+                return False
+            if self._state == "trailer":
+                if not line:
+                    return True
+                self._at += len(line)
+                if not _FIELD.fullmatch(line + b"\r\n") or self._at > MAX_HEAD:
+                    raise Malformed(400, "a trailer that cannot be read")
+                continue
+            match = _CHUNK.match(line)
+            if match is None:
+                raise Malformed(400, "a chunk size that cannot be read")
+            self._at = int(match[1], 16)
+            if len(self._body) + self._at > self._limit:
+                raise Malformed(413, "the body is too large")
+            self._state = "data" if self._at else "trailer"
+
+
+def request(method: bytes, target: bytes, lines: bytes, body: bytes = b"") -> bytes:
+    """A request; `lines` are whole header lines. GET without a body carries no length."""
+    length = b"Content-Length: %d\r\n" % len(body) if body or method not in (b"GET", b"HEAD") else b""
+    return b"".join((method, b" ", target, b" HTTP/1.1\r\n", lines, length, b"\r\n", body))
+
+
+def response(status: int, body: bytes = b"", lines: bytes = b"", close: bool = False) -> bytes:
+    """A response; `lines` are whole header lines."""
+    closing = b"Connection: close\r\n" if close else b""
+    reason = REASONS.get(status, b"Unknown")
+    return b"HTTP/1.1 %d %b\r\n%b%bContent-Length: %d\r\n\r\n%b" % (
+        status, reason, lines, closing, len(body), body,
+    )  # fmt: skip
--- /dev/null
+++ b/iristrack/net/sidecar.py
@@ -0,0 +1,703 @@
+"""The core: one `Balancer`, fed with events and obeyed action by action, directly on the sockets.
+
+This file owns transactions, routed tasks, connections to pool servers, probes, timers and the service table.
+It must never pick a pool server, retry or refuse by its own taste: decisions come from `balance.py` alone.
+It does not know how terminals speak: a front hands it transactions, which hold nothing of the front's
+protocol, and gets each one's only answer through `deliver`.
+"""
+
+from __future__ import annotations
+
+import errno
+import gc
+import json
+import os
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from time import process_time
+
+from loguru import logger
+
+from iristrack import interface as mi
+from iristrack.balance import Balancer
+from iristrack.config import REPORT_NAMES, Address, Config, read_address
+from iristrack.net import http
+from iristrack.net.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock
+
+MS = mi.NS_PER_MS
+REPLY_MARGIN_NS = 8 * MS  # what is kept back of a client's patience, for the answer's own way
+WATCH_WAIT_MS = 2000  # how long discovery may hold a watch
+DISCOVERY_SLACK_NS = 700 * MS  # and how much later its silence counts as a failure
+DISCOVERY_PAUSE_NS = 50 * MS  # between a failed call and the next: under the 200 ms that end a watch
+DISCOVERY_BODY = 1 << 20
+IDLE_USED = 0.9  # a connection is retired after this share of the time that its server keeps it idle
+SWEEP_NS = mi.NS_PER_S
+REPORT_EVERY_NS = 10 * mi.NS_PER_S
+OWN_DESCRIPTORS = 24  # standard streams, listener, poll, discovery and some in hand
+RECEIVE = 64 * 1024
+STATES = {
+    "in_service": mi.ServerState.READY,
+    "terminating": mi.ServerState.DRAINING,
+    "terminated": mi.ServerState.GONE,
+}
+
+
+class Ending(Enum):
+    """How a transaction ended for its terminal."""
+
+    SERVED = "served"
+    SHORT = "short on capacity"  # the short-on-capacity reply: trying again does no harm
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer of a transaction."""
+
+    ending: Ending
+    body: bytes = b""
+    media_type: bytes = b""
+    retry_after_ns: int = 0
+    fault: bool = False  # the sidecar itself is at fault
+    late: bool = False  # nobody answered in time
+
+
+class Transaction:
+    """What a terminal asked for, from its arrival to its one answer."""
+
+    __slots__ = (
+        "answered", "attempt", "deliver", "encode", "give_up_ns", "id", "key", "request_class", "retry",
+        "task", "tenant", "work_hint_ns", "write",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        call_id: str,
+        request_class: str,
+        give_up_ns: int,
+        encode: Callable[[int], bytes],
+        deliver: Callable[[Answer], None],
+        *,
+        key: str | None = None,
+        tenant: str | None = None,
+        retry: bool = False,
+        work_hint_ns: int = 0,
+        write: bool = False,
+    ) -> None:
+        """`encode` gives the bytes for a pool server, told how long (ns) the sidecar will wait."""
+        self.id = call_id
+        self.request_class = request_class
+        self.give_up_ns = give_up_ns
+        self.encode = encode
+        self.deliver = deliver
+        self.key = key
+        self.tenant = tenant
+        self.retry = retry
+        self.work_hint_ns = work_hint_ns
+        self.write = write
+        self.answered = False
+        self.attempt = -1  # number of the last routed task
+        self.task: Task | None = None  # the one that is out
+
+
+class _Link:
+    """One connection to a pool server or to discovery."""
+
+    __slots__ = ("fd", "idle_since", "reader", "sock", "target")
+
+    def __init__(self, sock: socket.socket, target: _Target | None, limit: int = http.MAX_BODY) -> None:
+        self.sock = sock
+        self.fd = sock.fileno()
+        self.target = target
+        self.reader = http.Reader(response=True, limit=limit)
+        self.idle_since = 0
+
+
+class _Target:
+    """A pool server as the sockets know it."""
+
+    __slots__ = ("address", "away_since", "id", "idle")
+
+    def __init__(self, server: str, address: Address) -> None:
+        self.id = server
+        self.address = address
+        self.away_since: int | None = None  # when the service table first said that it drains or is gone
+        self.idle: list[_Link] = []  # the most recently used last
+
+
+@dataclass(slots=True)
+class Counts:
+    """What happened since the last report."""
+
+    taken: int = 0
+    served: int = 0
+    short: int = 0
+    failed: int = 0
+    gone: int = 0
+    opened: int = 0
+    reused: int = 0
+    stale: int = 0
+    worst_pause_ns: int = 0
+
+
+class Sidecar:
+    """Carries out the balancer's decisions."""
+
+    def __init__(self, scheduler: Scheduler, config: Config) -> None:
+        """Nothing is opened before `start`."""
+        self.scheduler = scheduler
+        self.config = config
+        self.settings = config.settings
+        self.balancer = Balancer(config.settings, config.seed)
+        self.transactions: dict[str, Transaction] = {}
+        self.targets: dict[str, _Target] = {}
+        self.links = 0  # open connections to pool servers
+        self.most_links = max(8, (config.sockets - OWN_DESCRIPTORS) // 2)
+        self.idle_links = 0
+        self.ready = False  # can it serve: is there a service table?
+        self.counts = Counts()
+        self.watching: Task | None = None
+        self._revision: int | None = None
+        self._list_wanted = False
+        self._stopping = False
+        self._cpu = process_time()
+        self._gc_began = 0
+        limits = self.settings.limits
+        self.connect_timeout_ns = limits.connect_timeout_ns or mi.NS_PER_S
+        self.idle_ns = int((limits.idle_ns or 60 * mi.NS_PER_S) * IDLE_USED)
+        self.probe_timeout_ns = min(c.aim_ns for c in self.settings.classes)
+        self.actions: dict[type, Callable[..., None]] = {
+            mi.Send: self._send,
+            mi.Reject: lambda a: self._answer(a.id, Answer(Ending.SHORT, retry_after_ns=a.retry_after_ns)),
+            mi.Fail: lambda a: self._answer(a.id, Answer(Ending.FAILED)),
+            mi.Cancel: self._cancel,
+            mi.SetTimer: lambda a: self.scheduler.call_at(
+                clock() + a.delay_ns, self.feed, mi.TimerFired(a.token)
+            ),
+            mi.Probe: lambda a: self.scheduler.spawn("probe", self._probe, a.server),
+            mi.CloseIdle: lambda a: self._close_idle(a.server),
+            mi.PeerSend: lambda a: logger.warning("no way to other sidecars here: a message is dropped"),
+            mi.Subscribe: lambda a: self._subscribe(a.wanted),
+            mi.FetchList: lambda a: self.scheduler.spawn("list", self._fetch_list),
+            mi.Log: lambda a: logger.info("{}", a.text),
+        }
+
+    # ---- life
+
+    def start(self) -> None:
+        """Take the last known service table, then follow discovery."""
+        gc.callbacks.append(self._on_gc)
+        try:
+            self._take_table(self.config.known, mi.ListKind.CACHED)
+        except ValueError as fault:
+            logger.warning("the known service table is left out: {}", fault)
+        if not self.settings.ask_for_list:
+            self._subscribe(True)
+        self.scheduler.call_at(clock() + SWEEP_NS, self._sweep)
+        self.scheduler.call_at(clock() + REPORT_EVERY_NS, self._report_regularly)
+
+    def stop(self) -> None:
+        """End what runs beside the transactions."""
+        self._stopping = True
+        self._subscribe(False)
+        for target in self.targets.values():
+            self._close_all(target)
+        self.report()
+
+    def _on_gc(self, phase: str, info: dict) -> None:
+        if phase == "start":
+            self._gc_began = clock()
+        else:
+            self.counts.worst_pause_ns = max(self.counts.worst_pause_ns, clock() - self._gc_began)
+
+    def _report_regularly(self) -> None:
+        self.report()
+        self.scheduler.call_at(clock() + REPORT_EVERY_NS, self._report_regularly)
+
+    def report(self) -> None:
+        """One line for the on-call staff: what was done, at which cost, and how late the loop ran."""
+        counts, scheduler, cpu = self.counts, self.scheduler, process_time()
+        if counts.taken:
+            logger.info(
+                "taken {} served {} short {} failed {} gone {}; connections opened {} reused {} stale {} open {};"
+                " cpu {:.2f} ms each; worst turn {:.1f} ms, timer {:.1f} ms late, gc {:.1f} ms",
+                counts.taken, counts.served, counts.short, counts.failed, counts.gone, counts.opened,
+                counts.reused, counts.stale, self.links, (cpu - self._cpu) * 1e3 / counts.taken,
+                scheduler.worst_turn_ns / 1e6, scheduler.worst_late_ns / 1e6, counts.worst_pause_ns / 1e6,
+            )  # fmt: skip
+        self.counts = Counts()
+        self._cpu = cpu
+        scheduler.worst_turn_ns = scheduler.worst_late_ns = 0
+
+    # ---- the module
+
+    def feed(self, event: mi.Event) -> None:
+        """Give the module an event and carry out its actions, in order. Nothing in here waits."""
+        try:
+            actions = self.balancer.handle(clock(), event)
+        except Exception:
+            # Guards the process and the terminal: a transaction that the module stumbles over still gets
+            # its answer, and the others go on.
+            logger.exception("the module failed at {}", type(event).__name__)
+            self._answer(getattr(event, "id", ""), Answer(Ending.FAILED, fault=True))
+            return
+        for action in actions:
+            try:
+                self.actions[type(action)](action)
+            except Exception:
+                logger.exception("an action failed: {}", type(action).__name__)
+                self._answer(getattr(action, "id", ""), Answer(Ending.FAILED, fault=True))
+
+    # ---- transactions
+
+    def submit(self, transaction: Transaction) -> bool:
+        """Take a transaction; false, and nothing is taken, while another of its id is in flight."""
+        if transaction.id in self.transactions:
+            # Guards the terminal: the module passes over such a request, which then nobody would answer.
+            return False
+        self.transactions[transaction.id] = transaction
+        self.counts.taken += 1
+        self.feed(
+            mi.Request(
+                transaction.id,
+                transaction.request_class,
+                transaction.give_up_ns - REPLY_MARGIN_NS,
+                transaction.key,
+                transaction.tenant,
+                transaction.work_hint_ns,
+                transaction.retry,
+                transaction.write,
+            )
+        )
+        return True
+
+    def hang_up(self, transaction: Transaction) -> None:
+        """The terminal left: nothing is owed any more."""
+        if not transaction.answered:
+            self.counts.gone += 1
+            self._end(transaction, None)
+
+    def expire(self, transaction: Transaction) -> None:
+        """The last guard of the one answer: the client's patience ends and the module has said nothing."""
+        if not transaction.answered:
+            logger.error("transaction {} had no answer in time", transaction.id)
+            self._end(transaction, Answer(Ending.FAILED, late=True))
+
+    def _end(self, transaction: Transaction, answer: Answer | None) -> None:
+        transaction.answered = True
+        if answer is not None:
+            self.counts.failed += 1
+            transaction.deliver(answer)
+        self.feed(mi.ClientGone(transaction.id))
+        self._settle(transaction)
+
+    def _answer(self, call_id: str, answer: Answer) -> None:
+        transaction = self.transactions.get(call_id)
+        if transaction is None or transaction.answered:
+            return
+        transaction.answered = True
+        if answer.ending is Ending.SERVED:
+            self.counts.served += 1
+        elif answer.ending is Ending.SHORT:
+            self.counts.short += 1
+        else:
+            self.counts.failed += 1
+        transaction.deliver(answer)
+        self._settle(transaction)
+
+    def _settle(self, transaction: Transaction) -> None:
+        if transaction.answered and transaction.task is None:
+            self.transactions.pop(transaction.id, None)
+
+    # ---- routed tasks
+
+    def _send(self, action: mi.Send) -> None:
+        transaction = self.transactions[action.id]
+        now = clock()
+        deadline = transaction.give_up_ns - REPLY_MARGIN_NS
+        if action.timeout_ns:
+            deadline = min(deadline, now + action.timeout_ns)
+        transaction.attempt += 1
+        transaction.task = self.scheduler.spawn(
+            "routed task", self._route, transaction, transaction.attempt, action.server, now, deadline
+        )
+
+    def _cancel(self, action: mi.Cancel) -> None:
+        transaction = self.transactions.get(action.id)
+        if transaction is not None and transaction.task is not None and transaction.attempt == action.attempt:
+            transaction.task.cancel()
+
+    def _route(self, transaction: Transaction, number: int, server: str, began: int, deadline: int) -> None:
+        """One routed task, from its connection to its outcome."""
+        outcome, message, written, link, keep = mi.Outcome.CONNECT_FAILED, None, False, None, False
+        try:
+            self.scheduler.checkpoint()
+            link = self._take_link(server, min(deadline, began + self.connect_timeout_ns))
+            if link is None or not self._may_begin(link.target):
+                outcome = mi.Outcome.NOT_SENT
+            else:
+                self._write(link, transaction.encode(deadline - clock()), deadline)
+                written = True
+                message = self._read(link, deadline)
+                outcome, keep = _classify(message), message.head.keeps_alive and link.reader.empty
+        except Cancelled:
+            outcome = mi.Outcome.CANCELLED
+        except TimeoutError:
+            outcome = mi.Outcome.TIMEOUT if written else mi.Outcome.CONNECT_FAILED
+        except OSError:
+            outcome = mi.Outcome.RESET if written else mi.Outcome.CONNECT_FAILED
+        except (http.Malformed, http.Truncated):
+            outcome = mi.Outcome.RESET  # it was written whole, and may have run
+        except Exception:
+            logger.exception("a routed task failed")
+            outcome = mi.Outcome.RESET if written else mi.Outcome.NOT_SENT
+            self._answer(transaction.id, Answer(Ending.FAILED, fault=True))
+        # Before the module hears of the end, and may send again: a given-up attempt that is still on an
+        # open connection would be a second copy beside the next one.
+        if link is not None:
+            self._put_back(link) if keep else self._close(link)
+        transaction.task = None
+        if outcome is mi.Outcome.OK:
+            fields = message.head.fields
+            self._answer(
+                transaction.id, Answer(Ending.SERVED, message.body, fields.get(b"content-type", b""))
+            )
+        self.feed(
+            mi.AttemptEnded(
+                transaction.id,
+                number,
+                server,
+                outcome,
+                transaction.answered,
+                clock() - began,
+                _load_report(message.head.fields.get(b"x-load-report")) if message else None,
+            )
+        )
+        self._settle(transaction)
+
+    def _may_begin(self, target: _Target | None) -> bool:
+        """Rule 3 at the first byte: a connection may have taken longer to come up than the grace allows."""
+        if target is None or target.away_since is None:
+            return target is not None
+        return clock() < target.away_since + self.settings.contract.drain_grace_ns
+
+    # ---- connections
+
+    def _take_link(self, server: str, deadline: int) -> _Link | None:
+        """An idle connection, the most recently used first, or a new one; None where none can be had."""
+        target = self.targets.get(server)
+        if target is None:
+            return None
+        oldest = clock() - self.idle_ns
+        while target.idle:
+            link = target.idle.pop()
+            self.idle_links -= 1
+            self.scheduler.unwatch(link.fd)
+            if link.idle_since > oldest and _is_quiet(link.sock):
+                self.counts.reused += 1
+                return link
+            # Guards against writing to a connection that the server has closed or is about to: that would
+            # end as a reset, after which a keyed request cannot be sent anywhere else.
+            self.counts.stale += 1
+            self._close(link)
+        if self.links >= self.most_links and not self._close_oldest():
+            return None
+        self.counts.opened += 1
+        self.links += 1
+        try:
+            return _Link(self._connect(target.address, deadline), target)
+        except BaseException:
+            self.links -= 1
+            raise
+
+    def _connect(self, address: Address, deadline: int) -> socket.socket:
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = sock.connect_ex(address)
+            if code == errno.EINPROGRESS:
+                self.scheduler.wait(sock.fileno(), WRITE, deadline)
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, os.strerror(code))
+            return sock
+        except BaseException:
+            sock.close()
+            raise
+
+    def _write(self, link: _Link, data: bytes, deadline: int) -> None:
+        sent = 0
+        while True:
+            try:
+                sent += link.sock.send(data[sent:] if sent else data)
+            except BlockingIOError:
+                pass
+            if sent == len(data):
+                return
+            self.scheduler.wait(link.fd, WRITE, deadline)
+
+    def _read(self, link: _Link, deadline: int) -> http.Message:
+        while True:
+            self.scheduler.wait(link.fd, READ, deadline)
+            try:
+                data = link.sock.recv(RECEIVE)
+            except BlockingIOError:
+                continue
+            message = link.reader.feed(data) if data else link.reader.end()
+            if message is not None:
+                return message
+            if not data:
+                raise ConnectionResetError("closed before an answer")
+
+    def _put_back(self, link: _Link) -> None:
+        target = link.target
+        if self._stopping or self.targets.get(target.id) is not target or target.away_since is not None:
+            self._close(link)
+            return
+        link.idle_since = clock()
+        target.idle.append(link)
+        self.idle_links += 1
+
+        def broken() -> None:
+            self.scheduler.unwatch(link.fd)
+            target.idle.remove(link)
+            self.idle_links -= 1
+            self._close(link)
+
+        self.scheduler.watch(link.fd, broken)
+
+    def _close(self, link: _Link) -> None:
+        link.sock.close()
+        if link.target is not None:
+            self.links -= 1
+
+    def _retire(self, target: _Target, link: _Link) -> None:
+        target.idle.remove(link)
+        self.idle_links -= 1
+        self.scheduler.unwatch(link.fd)
+        self._close(link)
+
+    def _close_all(self, target: _Target) -> None:
+        for link in list(target.idle):
+            self._retire(target, link)
+
+    def _close_idle(self, server: str) -> None:
+        target = self.targets.get(server)
+        if target is not None:
+            self._close_all(target)
+
+    def _close_oldest(self) -> bool:
+        """Give up the idle connection that was used longest ago, for its descriptor."""
+        firsts = [t.idle[0] for t in self.targets.values() if t.idle]
+        if not firsts:
+            return False
+        oldest = min(firsts, key=lambda link: link.idle_since)
+        self._retire(oldest.target, oldest)
+        return True
+
+    def _sweep(self) -> None:
+        """Close what has been idle for almost as long as the servers keep it."""
+        oldest = clock() - self.idle_ns
+        for target in self.targets.values():
+            while target.idle and target.idle[0].idle_since <= oldest:
+                self._retire(target, target.idle[0])
+        self.scheduler.call_at(clock() + SWEEP_NS, self._sweep)
+
+    # ---- probes
+
+    def _probe(self, server: str) -> None:
+        began = clock()
+        deadline = began + self.probe_timeout_ns
+        outcome, message, written, link = mi.Outcome.CONNECT_FAILED, None, False, None
+        path = b"/_load" if self.settings.report_fields else b"/ping"
+        try:
+            link = self._take_link(server, min(deadline, began + self.connect_timeout_ns))
+            if link is not None:
+                self._write(link, http.request(b"GET", path, b"Host: pool\r\n"), deadline)
+                written = True
+                message = self._read(link, deadline)
+                outcome = mi.Outcome.OK if message.head.status == 200 else mi.Outcome.ERROR
+        except TimeoutError:
+            outcome = mi.Outcome.TIMEOUT if written else mi.Outcome.CONNECT_FAILED
+        except (OSError, http.Malformed, http.Truncated):
+            outcome = mi.Outcome.RESET if written else mi.Outcome.CONNECT_FAILED
+        report = None
+        if link is not None:
+            keep = message is not None and message.head.keeps_alive and link.reader.empty
+            self._put_back(link) if keep else self._close(link)
+        if message is not None:
+            report = _load_report(message.body or message.head.fields.get(b"x-load-report"))
+        self.feed(mi.ProbeEnded(server, outcome, clock() - began, report))
+
+    # ---- the service table
+
+    def _subscribe(self, wanted: bool) -> None:
+        if wanted and (self.watching is None or self.watching.done):
+            self.watching = self.scheduler.spawn("watch", self._watch)
+        elif not wanted and self.watching is not None:
+            self.watching.cancel()
+            self.watching = None
+
+    def _watch(self) -> None:
+        """Follow discovery: the whole list first, then one call after another on one connection."""
+        link: _Link | None = None
+        told = False
+        try:
+            while True:
+                try:
+                    if link is None:
+                        deadline = clock() + DISCOVERY_SLACK_NS
+                        link = _Link(self._connect(self.config.discovery, deadline), None, DISCOVERY_BODY)
+                    wait_ms = WATCH_WAIT_MS if self._revision is not None and told else 0
+                    told = self._ask_discovery(link, wait_ms)
+                    if not link.reader.empty:
+                        raise http.Malformed(502, "more than was asked for")
+                except (OSError, ValueError, http.Malformed, http.Truncated) as fault:
+                    # Discovery may be down, silent or speak garbage: that ends this call only.
+                    logger.debug("discovery: {}", fault or type(fault).__name__)
+                    if link is not None:
+                        link.sock.close()
+                        link = None
+                    if self.settings.ask_for_list:
+                        self.feed(mi.ServerList(mi.ListKind.FAILED))
+                        return
+                    self.scheduler.sleep(DISCOVERY_PAUSE_NS)
+        finally:
+            if link is not None:
+                link.sock.close()
+
+    def _fetch_list(self) -> None:
+        link: _Link | None = None
+        try:
+            deadline = clock() + DISCOVERY_SLACK_NS
+            link = _Link(self._connect(self.config.discovery, deadline), None, DISCOVERY_BODY)
+            self._ask_discovery(link, 0)
+        except (OSError, ValueError, http.Malformed, http.Truncated):
+            if self.settings.ask_for_list:
+                self.feed(mi.ServerList(mi.ListKind.FAILED))
+        finally:
+            if link is not None:
+                link.sock.close()
+
+    def _ask_discovery(self, link: _Link, wait_ms: int) -> bool:
+        """One call: the whole list, or with a wait what changed."""
+        target = b"/catalog/members"
+        if wait_ms:
+            target += b"?index=%d&wait=%d" % (self._revision, wait_ms)
+        deadline = clock() + wait_ms * MS + DISCOVERY_SLACK_NS
+        host = b"Host: %b:%d\r\n" % (self.config.discovery[0].encode(), self.config.discovery[1])
+        self._write(link, http.request(b"GET", target, host), deadline)
+        message = self._read(link, deadline)
+        if message.head.status != 200:
+            raise ValueError(f"status {message.head.status}")
+        self._take_table(json.loads(message.body), None)
+        if not message.head.keeps_alive:
+            raise ConnectionResetError("closed by discovery")
+        return True
+
+    def _take_table(self, told: object, kind: mi.ListKind | None) -> None:
+        """Read a list in discovery's form; tell the module. Raises `ValueError` before anything is changed."""
+        if not isinstance(told, dict) or not isinstance(told.get("members", []), list):
+            raise ValueError("no service table")
+        entries = [_entry(member) for member in told.get("members", [])]
+        revision = told.get("revision")
+        if not isinstance(revision, int):
+            raise ValueError("the service table has no revision")
+        if kind is None:
+            self._revision = revision
+            kind = mi.ListKind.FULL if told.get("complete") else mi.ListKind.DELTA
+        now = clock()
+        if kind is not mi.ListKind.DELTA:
+            named = {entry.server for entry, _ in entries}
+            for target in [t for t in self.targets.values() if t.id not in named]:
+                self._set_away(target, now)
+        for entry, address in entries:
+            target = self.targets.get(entry.server)
+            if target is None:
+                target = self.targets[entry.server] = _Target(entry.server, address)
+            elif target.address != address:
+                self._close_all(target)
+                # Another object: connections to the old address that are in use are not put back.
+                fresh = self.targets[entry.server] = _Target(entry.server, address)
+                fresh.away_since = target.away_since
+                target = fresh
+            if entry.state is mi.ServerState.READY:
+                target.away_since = None
+            else:
+                self._set_away(target, now)
+        if entries or kind is not mi.ListKind.DELTA:
+            self.feed(mi.ServerList(kind, tuple(entry for entry, _ in entries), revision))
+        self._forget_gone(now)
+        self.ready = self.ready or bool(entries) or kind is mi.ListKind.FULL
+
+    def _set_away(self, target: _Target, now: int) -> None:
+        if target.away_since is None:
+            target.away_since = now
+            self._close_all(target)
+
+    def _forget_gone(self, now: int) -> None:
+        """Guards memory: a fleet whose machines are replaced for months names ever new servers."""
+        long_ago = now - self.settings.contract.drain_grace_ns - 10 * mi.NS_PER_S
+        for target in list(self.targets.values()):
+            if target.away_since is not None and target.away_since < long_ago:
+                if not any(s.id == target.id for s in self.balancer.ready):
+                    del self.targets[target.id]
+
+
+def _is_quiet(sock: socket.socket) -> bool:
+    """Is there neither an end nor unasked bytes on an idle connection?"""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def _classify(message: http.Message) -> mi.Outcome:
+    status = message.head.status
+    if status == 200:
+        return mi.Outcome.OK
+    if status in (503, 504) and message.head.fields.get(b"x-rejected") == b"1":
+        return mi.Outcome.REJECTED
+    return mi.Outcome.ERROR
+
+
+def _load_report(text: bytes | None) -> dict[str, float] | None:
+    """`TEXT name=value, name=value`; what cannot be read is left out."""
+    if not text:
+        return None
+    report = {}
+    for pair in text.decode("latin-1").removeprefix("TEXT").split(","):
+        name, _, value = pair.strip().partition("=")
+        try:
+            report[REPORT_NAMES.get(name, name)] = float(value)
+        except ValueError:
+            continue
+    return report or None
+
+
+def _member_address(member: dict) -> Address:
+    if member["phase"] == "terminated" and not member.get("host_port"):
+        return "", 0  # what is gone needs no address
+    return read_address(str(member["host_port"]))
+
+
+def _entry(member: object) -> tuple[mi.ServerEntry, Address]:
+    if not isinstance(member, dict):
+        raise ValueError("an entry of the service table is no object")
+    try:
+        return mi.ServerEntry(
+            server=str(member["id"]),
+            state=STATES[member["phase"]],
+            zone=str(member.get("locality", "")),
+            cell=int(member.get("cell", -1)),
+            weight=float(member.get("size", 1.0)),
+            started_ns=int(member.get("up_since_ms", 0)) * MS,
+        ), _member_address(member)
+    except (KeyError, TypeError, OverflowError) as fault:
+        raise ValueError(f"an entry of the service table cannot be read: {fault!r}") from None
