--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -9,6 +9,7 @@
 
 import re
 import socket
+from contextlib import suppress
 
 from loguru import logger
 
@@ -219,10 +220,8 @@
     def _write(self, terminal: _Terminal, data: bytes) -> None:
         sent, deadline = 0, 0
         while True:
-            try:
+            with suppress(BlockingIOError):
                 sent += terminal.sock.send(data[sent:] if sent else data)
-            except BlockingIOError:
-                pass
             if sent == len(data):
                 return
             deadline = deadline or clock() + WRITE_NS
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -14,6 +14,7 @@
 import os
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import Enum
 from time import process_time
@@ -221,8 +222,8 @@
         counts, scheduler, cpu = self.counts, self.scheduler, process_time()
         if counts.taken:
             logger.info(
-                "taken {} served {} short {} failed {} gone {}; connections opened {} reused {} stale {} open {};"
-                " cpu {:.2f} ms each; worst turn {:.1f} ms, timer {:.1f} ms late, gc {:.1f} ms",
+                "taken {} served {} short {} failed {} gone {}; connections opened {} reused {} stale {}"
+                " open {}; cpu {:.2f} ms each; worst turn {:.1f} ms, timer {:.1f} ms late, gc {:.1f} ms",
                 counts.taken, counts.served, counts.short, counts.failed, counts.gone, counts.opened,
                 counts.reused, counts.stale, self.links, (cpu - self._cpu) * 1e3 / counts.taken,
                 scheduler.worst_turn_ns / 1e6, scheduler.worst_late_ns / 1e6, counts.worst_pause_ns / 1e6,
@@ -431,10 +432,8 @@
     def _write(self, link: _Link, data: bytes, deadline: int) -> None:
         sent = 0
         while True:
-            try:
+            with suppress(BlockingIOError):
                 sent += link.sock.send(data[sent:] if sent else data)
-            except BlockingIOError:
-                pass
             if sent == len(data):
                 return
             self.scheduler.wait(link.fd, WRITE, deadline)
@@ -599,7 +598,7 @@
         return True
 
     def _take_table(self, told: object, kind: mi.ListKind | None) -> None:
-        """Read a list in discovery's form; tell the module. Raises `ValueError` before anything is changed."""
+        """Read a list in discovery's form; tell the module. Raises `ValueError` before any change."""
         if not isinstance(told, dict) or not isinstance(told.get("members", []), list):
             raise ValueError("no service table")
         entries = [_entry(member) for member in told.get("members", [])]
@@ -643,8 +642,7 @@
         long_ago = now - self.settings.contract.drain_grace_ns - 10 * mi.NS_PER_S
         for target in list(self.targets.values()):
             if target.away_since is not None and target.away_since < long_ago:
-                if not any(s.id == target.id for s in self.balancer.ready):
-                    del self.targets[target.id]
+                del self.targets[target.id]
 
 
 def _is_quiet(sock: socket.socket) -> bool:
