--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -16,13 +16,14 @@
 from iristrack import interface as mi
 from iristrack.config import Address
 from iristrack.net import http
-from iristrack.net.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock
+from iristrack.net.scheduler import HANG_UP, READ, WRITE, Cancelled, Scheduler, Task, clock
 from iristrack.net.sidecar import OWN_DESCRIPTORS, Answer, Ending, Sidecar, Transaction
 
 IDLE_NS = 120 * mi.NS_PER_S  # a client's connection without a request is closed after so long
 REQUEST_NS = 10 * mi.NS_PER_S  # a request that has begun must be whole by then
 WRITE_NS = 5 * mi.NS_PER_S  # and its answer taken
 STOP_GRACE_NS = 500 * mi.NS_PER_MS  # the platform lets connections come for up to 400 ms after SIGTERM
+LINGER_NS = 50 * mi.NS_PER_MS  # what an idle connection is left after the grace
 PAUSE_NS = 50 * mi.NS_PER_MS  # between failed accepts
 BACKLOG = 1024
 ACCEPTS = 32  # most connections taken in one turn
@@ -184,8 +185,9 @@
         message = reader.feed(b"")
         deadline, begun, continued = clock() + IDLE_NS, False, False
         while message is None:
-            if self.closing and reader.empty and not self._readable(terminal):
-                return None
+            if self.closing and reader.empty:
+                # A request that crosses the end of the grace on its way is still taken.
+                deadline = min(deadline, clock() + LINGER_NS)
             if not begun and not reader.empty:
                 begun, deadline = True, clock() + REQUEST_NS
             head = reader.awaiting_body
@@ -210,13 +212,6 @@
                 return None
         return message
 
-    @staticmethod
-    def _readable(terminal: _Terminal) -> bool:
-        try:
-            return bool(terminal.sock.recv(1, socket.MSG_PEEK))
-        except BlockingIOError:
-            return False
-
     def _write(self, terminal: _Terminal, data: bytes) -> None:
         sent, deadline = 0, 0
         while True:
@@ -254,22 +249,21 @@
 
     def _await_answer(self, terminal: _Terminal, transaction: Transaction) -> bool:
         """Wait for the core, and see it when the client hangs up meanwhile; false if it did."""
-        fd = terminal.fd
+        events = READ
         try:
             while terminal.answer is None:
                 try:
-                    if not self.scheduler.wait(fd, READ, transaction.give_up_ns):
-                        continue
-                    data = terminal.sock.recv(RECEIVE, socket.MSG_PEEK)
+                    seen = self.scheduler.wait(terminal.fd, events, transaction.give_up_ns)
+                    if seen and not seen & HANG_UP and terminal.sock.recv(1, socket.MSG_PEEK):
+                        # An early next request stays in the kernel until this one is answered.
+                        events = HANG_UP
+                    elif seen:
+                        self.sidecar.hang_up(transaction)
+                        return False
                 except BlockingIOError:
                     continue
                 except TimeoutError:
                     self.sidecar.expire(transaction)
-                    break
-                if not data:
-                    self.sidecar.hang_up(transaction)
-                    return False
-                fd = -1  # an early next request: it stays in the kernel until this one is answered
         except BaseException:
             self.sidecar.hang_up(transaction)
             raise
--- a/iristrack/net/scheduler.py
+++ b/iristrack/net/scheduler.py
@@ -16,7 +16,8 @@
 from greenlet import getcurrent, greenlet
 from loguru import logger
 
-READ = select.POLLIN | getattr(select, "POLLRDHUP", 0)
+HANG_UP = getattr(select, "POLLRDHUP", select.POLLHUP)
+READ = select.POLLIN | HANG_UP
 WRITE = select.POLLOUT
 WOKEN = 0  # what `wait` returns when another task called `wake`
 FEWEST_STALE = 256  # cancelled timers that the heap may always hold
