Look once more at a send's first byte, follow a discovery that started anew, bound memory

- sidecar.py _may_begin looked at the drain grace but not at whether the address had moved while the connection came up; both are looked at now.
- sidecar.py _connect ran out of descriptors as 'could not connect', for which the module ejects a sound server; it is 'not sent' now, and the process raises its own limit to what it was promised.
- a discovery whose revisions start anew would have held a watch for a revision long past.
- balance.py kept a class for each unknown name for ever (one line of _on_request); at most 64 now. front.py bounds a path to 2,048 bytes, since keys are remembered.

--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -9,9 +9,11 @@
 import argparse
 import gc
 import os
+import resource
 import signal
 import socket
 import sys
+from dataclasses import replace
 from importlib import metadata
 
 from loguru import logger
@@ -26,6 +28,12 @@
 
 
 def _serve(config: Config) -> int:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < config.sockets:
+        # The bounds on connections count on the descriptors that the configuration promises.
+        allowed = config.sockets if hard == resource.RLIM_INFINITY else min(config.sockets, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (allowed, hard))
+        config = replace(config, sockets=allowed)
     scheduler = Scheduler()
     sidecar = Sidecar(scheduler, config)
     front = HttpFront(scheduler, sidecar, config.listen)
@@ -43,14 +51,14 @@
         signal.signal(number, lambda *_: None)
     scheduler.watch(woken.fileno(), signalled)
     sidecar.start()
+    gc.collect()  # before the first client: what is there now stays, and need not be looked at again
+    gc.freeze()
     try:
         front.start()
     except OSError as fault:
         print(f"iristrack: cannot listen on {config.listen[0]}:{config.listen[1]}: {fault}", file=sys.stderr)
         return 1
     logger.info("{} listens on {}:{}", config.name, *config.listen)
-    gc.collect()
-    gc.freeze()
     scheduler.run()
     logger.info("{} has stopped", config.name)
     return 0
--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -48,6 +48,7 @@
 COUNTED_REQUESTS = 512  # how popular a key is shows in about so many requests
 CACHED_RANKINGS = 8192
 REMEMBERED_FAILURES = 4096
+MOST_CLASSES = 64
 SPARE_ENTRIES = 64  # places a server's waiting list may hold beyond twice those that wait
 COUNTS_ON = frozenset({mi.Outcome.ERROR, mi.Outcome.RESET, mi.Outcome.TIMEOUT})  # as in flight for a while
 OUT, MAYBE_RAN, DID_NOT_RUN = range(3)
@@ -380,7 +381,9 @@
         cls = self.classes.get(event.request_class)
         if cls is None:  # unknown: as strict as can be
             left = max(1, event.give_up_ns - now)
-            cls = self.classes[event.request_class] = _Class(mi.RequestClass(event.request_class, left, left))
+            cls = _Class(mi.RequestClass(event.request_class, left, left))
+            if len(self.classes) < MOST_CLASSES:  # names that come from outside must not fill the memory
+                self.classes[event.request_class] = cls
         spec = cls.spec
         born = now
         if event.retry:
--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -28,6 +28,7 @@
 BACKLOG = 1024
 ACCEPTS = 32  # most connections taken in one turn
 RECEIVE = 64 * 1024
+LONGEST_TARGET = 2048  # keys are remembered, so that their length bounds memory
 LONGEST_BUDGET_NS = 3600 * mi.NS_PER_S
 
 _TARGET = re.compile(rb"/api/(?:[^?#]*/)?([^/?#]+)(?:\?[^#]*)?\Z")
@@ -44,7 +45,7 @@
 class _Terminal:
     """One client connection."""
 
-    __slots__ = ("answer", "fd", "leftover", "reader", "sock", "task")
+    __slots__ = ("answer", "fd", "reader", "sock", "task")
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
@@ -76,7 +77,6 @@
         family = socket.AF_INET6 if ":" in self.listen[0] else socket.AF_INET
         self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._listener.bind(self.listen)
         self._listener.listen(BACKLOG)
         self._resume_accepting()
@@ -273,6 +273,8 @@
         """Read the platform's headers."""
         head = message.head
         fields = head.fields
+        if len(head.target) > LONGEST_TARGET:
+            raise http.Malformed(414, "the path is too long")
         place = _TARGET.match(head.target)
         if place is None:
             raise http.Malformed(404, "no such path")
--- a/iristrack/net/http.py
+++ b/iristrack/net/http.py
@@ -29,7 +29,8 @@
 
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+    409: b"Conflict", 413: b"Content Too Large", 414: b"URI Too Long",
+    431: b"Request Header Fields Too Large",
     500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable",
     504: b"Gateway Timeout", 505: b"HTTP Version Not Supported",
 }  # fmt: skip
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -156,7 +156,6 @@
         self.targets: dict[str, _Target] = {}
         self.links = 0  # open connections to pool servers
         self.most_links = max(8, (config.sockets - OWN_DESCRIPTORS) // 2)
-        self.idle_links = 0
         self.ready = False  # can it serve: is there a service table?
         self.counts = Counts()
         self.watching: Task | None = None
@@ -332,57 +331,69 @@
 
     def _route(self, transaction: Transaction, number: int, server: str, began: int, deadline: int) -> None:
         """One routed task, from its connection to its outcome."""
-        outcome, message, written, link, keep = mi.Outcome.CONNECT_FAILED, None, False, None, False
+        message = None
         try:
-            self.scheduler.checkpoint()
-            link = self._take_link(server, min(deadline, began + self.connect_timeout_ns))
-            if link is None or not self._may_begin(link.target):
-                outcome = mi.Outcome.NOT_SENT
-            else:
-                self._write(link, transaction.encode(deadline - clock()), deadline)
-                written = True
-                message = self._read(link, deadline)
-                outcome, keep = _classify(message), message.head.keeps_alive and link.reader.empty
+            outcome, message = self._call(server, began, deadline, transaction.encode)
         except Cancelled:
             outcome = mi.Outcome.CANCELLED
-        except TimeoutError:
-            outcome = mi.Outcome.TIMEOUT if written else mi.Outcome.CONNECT_FAILED
-        except OSError:
-            outcome = mi.Outcome.RESET if written else mi.Outcome.CONNECT_FAILED
-        except (http.Malformed, http.Truncated):
-            outcome = mi.Outcome.RESET  # it was written whole, and may have run
         except Exception:
+            # Guards the process: the fault ends this transaction, which may have reached a server.
             logger.exception("a routed task failed")
-            outcome = mi.Outcome.RESET if written else mi.Outcome.NOT_SENT
+            outcome = mi.Outcome.RESET
             self._answer(transaction.id, Answer(Ending.FAILED, fault=True))
-        # Before the module hears of the end, and may send again: a given-up attempt that is still on an
-        # open connection would be a second copy beside the next one.
-        if link is not None:
-            self._put_back(link) if keep else self._close(link)
         transaction.task = None
-        if outcome is mi.Outcome.OK:
+        report = None
+        if message is not None:
             fields = message.head.fields
-            self._answer(
-                transaction.id, Answer(Ending.SERVED, message.body, fields.get(b"content-type", b""))
-            )
-        self.feed(
-            mi.AttemptEnded(
-                transaction.id,
-                number,
-                server,
-                outcome,
-                transaction.answered,
-                clock() - began,
-                _load_report(message.head.fields.get(b"x-load-report")) if message else None,
-            )
-        )
+            report = _load_report(fields.get(b"x-load-report"))
+            if outcome is mi.Outcome.OK:
+                media_type = fields.get(b"content-type", b"")
+                self._answer(transaction.id, Answer(Ending.SERVED, message.body, media_type))
+        final, latency = transaction.answered, clock() - began
+        self.feed(mi.AttemptEnded(transaction.id, number, server, outcome, final, latency, report))
         self._settle(transaction)
 
-    def _may_begin(self, target: _Target | None) -> bool:
-        """Rule 3 at the first byte: a connection may have taken longer to come up than the grace allows."""
-        if target is None or target.away_since is None:
-            return target is not None
-        return clock() < target.away_since + self.settings.contract.drain_grace_ns
+    def _call(
+        self, server: str, began: int, deadline: int, encode: Callable[[int], bytes]
+    ) -> tuple[mi.Outcome, http.Message | None]:
+        """One request to a pool server: how it ended, and the answer if there was one.
+
+        Before it returns, or raises, its connection is put back or closed: the module may send again as soon
+        as it hears of the end, and a given-up attempt on an open connection would be a second copy then.
+        """
+        link, written, keep = None, False, False
+        try:
+            self.scheduler.checkpoint()
+            link = self._take_link(server, min(deadline, began + self.connect_timeout_ns))
+            if link is None or not self._may_begin(server, link.target):
+                return mi.Outcome.NOT_SENT, None
+            self._write(link, encode(deadline - clock()), deadline)
+            written = True
+            message = self._read(link, deadline)
+            keep = message.head.keeps_alive and link.reader.empty
+            return _classify(message), message
+        except TimeoutError:
+            return mi.Outcome.TIMEOUT if written else mi.Outcome.CONNECT_FAILED, None
+        except OSError as fault:
+            if link is None and fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                return mi.Outcome.NOT_SENT, None  # our own want says nothing of the server
+            return mi.Outcome.RESET if written else mi.Outcome.CONNECT_FAILED, None
+        except (http.Malformed, http.Truncated):
+            return mi.Outcome.RESET, None  # it was written whole, and may have run
+        finally:
+            if link is not None:
+                self._put_back(link) if keep else self._close(link)
+
+    def _may_begin(self, server: str, target: _Target) -> bool:
+        """Look once more at the first byte: a connection takes time to come up, and the list may change.
+
+        Rule 3: the drain grace must not be over. And where the address has moved, the old one may be
+        somebody else's by now.
+        """
+        if self.targets.get(server) is not target:
+            return False
+        grace = self.settings.contract.drain_grace_ns
+        return target.away_since is None or clock() < target.away_since + grace
 
     # ---- connections
 
@@ -394,7 +405,6 @@
         oldest = clock() - self.idle_ns
         while target.idle:
             link = target.idle.pop()
-            self.idle_links -= 1
             self.scheduler.unwatch(link.fd)
             if link.idle_since > oldest and _is_quiet(link.sock):
                 self.counts.reused += 1
@@ -458,12 +468,10 @@
             return
         link.idle_since = clock()
         target.idle.append(link)
-        self.idle_links += 1
 
         def broken() -> None:
             self.scheduler.unwatch(link.fd)
             target.idle.remove(link)
-            self.idle_links -= 1
             self._close(link)
 
         self.scheduler.watch(link.fd, broken)
@@ -475,7 +483,6 @@
 
     def _retire(self, target: _Target, link: _Link) -> None:
         target.idle.remove(link)
-        self.idle_links -= 1
         self.scheduler.unwatch(link.fd)
         self._close(link)
 
@@ -509,24 +516,10 @@
 
     def _probe(self, server: str) -> None:
         began = clock()
-        deadline = began + self.probe_timeout_ns
-        outcome, message, written, link = mi.Outcome.CONNECT_FAILED, None, False, None
         path = b"/_load" if self.settings.report_fields else b"/ping"
-        try:
-            link = self._take_link(server, min(deadline, began + self.connect_timeout_ns))
-            if link is not None:
-                self._write(link, http.request(b"GET", path, b"Host: pool\r\n"), deadline)
-                written = True
-                message = self._read(link, deadline)
-                outcome = mi.Outcome.OK if message.head.status == 200 else mi.Outcome.ERROR
-        except TimeoutError:
-            outcome = mi.Outcome.TIMEOUT if written else mi.Outcome.CONNECT_FAILED
-        except (OSError, http.Malformed, http.Truncated):
-            outcome = mi.Outcome.RESET if written else mi.Outcome.CONNECT_FAILED
+        asked = http.request(b"GET", path, b"Host: pool\r\n")
+        outcome, message = self._call(server, began, began + self.probe_timeout_ns, lambda left_ns: asked)
         report = None
-        if link is not None:
-            keep = message is not None and message.head.keeps_alive and link.reader.empty
-            self._put_back(link) if keep else self._close(link)
         if message is not None:
             report = _load_report(message.body or message.head.fields.get(b"x-load-report"))
         self.feed(mi.ProbeEnded(server, outcome, clock() - began, report))
@@ -548,8 +541,7 @@
             while True:
                 try:
                     if link is None:
-                        deadline = clock() + DISCOVERY_SLACK_NS
-                        link = _Link(self._connect(self.config.discovery, deadline), None, DISCOVERY_BODY)
+                        link = self._call_discovery()
                     wait_ms = WATCH_WAIT_MS if self._revision is not None and told else 0
                     told = self._ask_discovery(link, wait_ms)
                     if not link.reader.empty:
@@ -571,8 +563,7 @@
     def _fetch_list(self) -> None:
         link: _Link | None = None
         try:
-            deadline = clock() + DISCOVERY_SLACK_NS
-            link = _Link(self._connect(self.config.discovery, deadline), None, DISCOVERY_BODY)
+            link = self._call_discovery()
             self._ask_discovery(link, 0)
         except (OSError, ValueError, http.Malformed, http.Truncated):
             if self.settings.ask_for_list:
@@ -581,8 +572,12 @@
             if link is not None:
                 link.sock.close()
 
+    def _call_discovery(self) -> _Link:
+        deadline = clock() + DISCOVERY_SLACK_NS
+        return _Link(self._connect(self.config.discovery, deadline), None, DISCOVERY_BODY)
+
     def _ask_discovery(self, link: _Link, wait_ms: int) -> bool:
-        """One call: the whole list, or with a wait what changed."""
+        """One call: the whole list, or with a wait what changed. False: the whole list is to be asked for."""
         target = b"/catalog/members"
         if wait_ms:
             target += b"?index=%d&wait=%d" % (self._revision, wait_ms)
@@ -592,10 +587,12 @@
         message = self._read(link, deadline)
         if message.head.status != 200:
             raise ValueError(f"status {message.head.status}")
+        before = self._revision
         self._take_table(json.loads(message.body), None)
         if not message.head.keeps_alive:
             raise ConnectionResetError("closed by discovery")
-        return True
+        # Guards against a discovery that started anew: it would wait for a revision that is long past.
+        return before is None or self._revision >= before
 
     def _take_table(self, told: object, kind: mi.ListKind | None) -> None:
         """Read a list in discovery's form; tell the module. Raises `ValueError` before any change."""
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -66,6 +66,11 @@
             self.open.remove(sock)
             sock.close()
 
+    def close(self) -> None:
+        """Refuse connections from now on; closing alone would let the waiting thread take one more."""
+        self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+
     def ids(self) -> list[str]:
         return [head.fields[b"x-call-id"].decode() for head in list(self.heads)]
 
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,58 @@
+"""The configuration: nested JSON means what the simulator's first message means."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from stage import ROOT, SETTINGS
+
+from iristrack import interface as mi
+from iristrack.config import ConfigError, flatten, load, read_address, read_settings
+
+
+def test_nested_settings_read_as_the_flat_ones() -> None:
+    nested = {"a": {"b": [1, 2.0, True]}, "c": [{"d": None, "e": "x"}], "f": 0.5, "g": []}
+    flat = {"a.b": "1,2,true", "c.count": "1", "c.0.e": "x", "f": "0.5", "g": ""}
+    assert flatten(nested) == flat
+    settings = read_settings(flatten(SETTINGS))
+    assert [c.repeat for c in settings.classes] == [mi.Repeat.SAFE, mi.Repeat.KEYED]
+    assert (settings.tenants[0].name, settings.report_fields) == ("north", ("util", "inflight"))
+    assert settings.limits.cancel and settings.limits.max_attempts == 5
+
+
+def test_the_environment_stands_above_the_file() -> None:
+    example = str(ROOT / "examples" / "config.json")
+    config = load({"NODE_CONFIG": example, "NODE_NAME": "n7", "NODE_LISTEN": "[::1]:9"})
+    assert (config.name, config.listen, config.discovery) == ("n7", ("::1", 9), ("127.0.0.1", 8500))
+    assert config.seed == 0x8C1F30D27A5BE964
+
+
+@pytest.mark.parametrize("text", ["host", ":80", "h:99999", "h:x", "h:-1"])
+def test_an_address_that_cannot_be_read_is_refused(text: str) -> None:
+    with pytest.raises(ValueError):
+        read_address(text)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"settings": {}},
+        {"settings": {"classes": [{"name": "a"}]}},
+        {"settings": {"classes": [{"name": "a", "promise_ns": 0, "deadline_ns": 5}]}},
+        {"settings": {"classes": [{"name": "a", "promise_ns": "x", "deadline_ns": 5}]}},
+        {"settings": 7},
+        {"limits": [1]},
+        {"limits": {"sockets": "many"}},
+        {"listen": "nowhere"},
+        {"known": [1]},
+    ],
+)
+def test_a_configuration_that_cannot_be_read_is_one_line(tmp_path: Path, change: dict) -> None:
+    told = json.loads((ROOT / "examples" / "config.json").read_text()) | change
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    with pytest.raises(ConfigError) as caught:
+        load({"NODE_CONFIG": str(path)})
+    assert "\n" not in str(caught.value)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,6 +7,7 @@
 import pytest
 from driver import MS, Host, classes, settings
 
+from iristrack.balance import MOST_CLASSES
 from iristrack.interface import (
     NS_PER_S,
     AttemptEnded,
@@ -343,3 +344,11 @@
     host.ask("read", "k")
     host.do(TimerFired(host.timers[0][1]))
     assert host.attempts[host.ask("read", "k")]
+
+
+def test_ever_new_unknown_classes_do_not_pile_up() -> None:
+    host = Host()
+    for i in range(500):
+        host.end_all(host.ask(f"unheard-of-{i}"), Outcome.OK)
+    assert len(host.balancer.classes) <= MOST_CLASSES
+    assert not host.balancer.requests
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -58,7 +59,8 @@
         log = program.log.read_text()
         assert "Traceback" not in log, log
     for listener in (stage.discovery, *stage.pools.values()):
-        listener.sock.close()
+        with suppress(OSError):
+            listener.close()
 
 
 def test_a_request_is_served_as_the_bytes_that_came(stage: Stage) -> None:
@@ -118,7 +120,7 @@
 def test_a_refused_connection_sends_the_request_elsewhere(stage: Stage) -> None:
     dead = stage.pool("s1")
     stage.pool("s2")
-    dead.sock.close()
+    dead.close()
     program = stage.start()
     assert [program.ask(f"r{i}", "pay", key=f"k{i}").head.status for i in range(6)] == [200] * 6
 
