Bound connections by memory as well as descriptors, and collect garbage before the sidecar starts

sidecar.py most_connections serves both sides; with 192 MB and 1,024 descriptors it is the descriptors that bind (500 a side), with 32 MB the memory (102). front.py: an accept whose client has left again no longer pauses the listener. __main__.py: the collection at the start is out of the loop reports, where it stood as a pause of 10 to 37 ms that no client ever met.

--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -50,9 +50,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: None)
     scheduler.watch(woken.fileno(), signalled)
-    sidecar.start()
     gc.collect()  # before the first client: what is there now stays, and need not be looked at again
     gc.freeze()
+    sidecar.start()
     try:
         front.start()
     except OSError as fault:
--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -17,7 +17,7 @@
 from iristrack.config import Address
 from iristrack.net import http
 from iristrack.net.scheduler import HANG_UP, READ, WRITE, Cancelled, Scheduler, Task, clock
-from iristrack.net.sidecar import OWN_DESCRIPTORS, Answer, Ending, Sidecar, Transaction
+from iristrack.net.sidecar import Answer, Ending, Sidecar, Transaction, most_connections
 
 IDLE_NS = 120 * mi.NS_PER_S  # a client's connection without a request is closed after so long
 REQUEST_NS = 10 * mi.NS_PER_S  # a request that has begun must be whole by then
@@ -64,7 +64,7 @@
         self.sidecar = sidecar
         self.listen = listen
         self.terminals: set[_Terminal] = set()
-        self.most = max(8, (sidecar.config.sockets - OWN_DESCRIPTORS) // 2)
+        self.most = most_connections(sidecar.config)
         self.stopping = False
         self._listener: socket.socket | None = None
         self._accepting = False
@@ -132,6 +132,8 @@
                 sock, _ = self._listener.accept()
             except BlockingIOError:
                 return False
+            except ConnectionAbortedError:
+                continue  # that one client has left again
             except OSError as fault:
                 logger.warning("accept failed: {}", fault)
                 self._pause_accepting()
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -155,7 +155,7 @@
         self.transactions: dict[str, Transaction] = {}
         self.targets: dict[str, _Target] = {}
         self.links = 0  # open connections to pool servers
-        self.most_links = max(8, (config.sockets - OWN_DESCRIPTORS) // 2)
+        self.most_links = most_connections(config)
         self.ready = False  # can it serve: is there a service table?
         self.counts = Counts()
         self.watching: Task | None = None
@@ -642,6 +642,14 @@
                 del self.targets[target.id]
 
 
+def most_connections(config: Config) -> int:
+    """How many connections each side may hold, by the limits on descriptors and on memory."""
+    most = (config.sockets - OWN_DESCRIPTORS) // 2
+    if config.memory_mb:  # half of the memory, were every connection on both sides full to its bounds
+        most = min(most, (config.memory_mb << 20) // 2 // (2 * (http.MAX_HEAD + http.MAX_BODY)))
+    return max(8, most)
+
+
 def _is_quiet(sock: socket.socket) -> bool:
     """Is there neither an end nor unasked bytes on an idle connection?"""
     try:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 
@@ -12,7 +13,7 @@
 from iristrack.config import Config, flatten, read_address, read_settings
 from iristrack.net import http
 from iristrack.net.scheduler import Scheduler, clock
-from iristrack.net.sidecar import Answer, Ending, Sidecar, Transaction
+from iristrack.net.sidecar import Answer, Ending, Sidecar, Transaction, most_connections
 
 LONG = 30 * mi.NS_PER_S
 
@@ -258,3 +259,26 @@
     bench.submit("r2")
     bench.until(lambda: len(bench.answers) == 2)
     assert pool.opened == 2
+
+
+@pytest.mark.parametrize(
+    ("sockets", "memory", "most"), [(1024, 192, 500), (1024, 32, 102), (64, 0, 20), (10, 1, 8)]
+)
+def test_connections_are_bounded_by_descriptors_and_by_memory(sockets: int, memory: int, most: int) -> None:
+    here = ("127.0.0.1", 1)
+    settings = read_settings(flatten(SETTINGS))
+    assert most_connections(Config("n0", here, here, 1, settings, {}, sockets, memory)) == most
+
+
+def test_a_server_without_a_descriptor_left_for_it_is_not_to_blame(bench: Bench) -> None:
+    bench.pool("s1", serve)
+    bench.start()
+
+    def none_left(address: object, deadline: int) -> None:
+        raise OSError(errno.EMFILE, "no descriptor left")
+
+    bench.sidecar._connect = none_left
+    bench.script.reply = send_once()
+    bench.submit("r1")
+    bench.until(lambda: bench.script.seen(mi.AttemptEnded))
+    assert bench.script.seen(mi.AttemptEnded)[0].outcome is mi.Outcome.NOT_SENT
