--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -248,6 +248,7 @@
         (GOOD.replace(b"X-Budget: 30000m\r\n", b""), 400),
         (GOOD.replace(b"X-Odd", b"X-Call-Id"), 400),
         (GOOD.replace(b"/api/k1", b"/other"), 404),
+        (GOOD.replace(b"/api/k1", b"/api/" + b"k" * 3000), 414),
         (GOOD.replace(b"GET", b"PUT"), 405),
         (GOOD.replace(b"GET", b"POST"), 405),
         (call("r1", "pay").replace(b"Idempotency-Key", b"X-Else"), 400),
