Keep the discovery watch alive whatever discovery says, and log when it fails and is back

Seen by reading: JSON nested too deep raises RecursionError, which sidecar.py _watch did not catch (it named four kinds of fault), so that the watch ended for good and the sidecar would have served from an ageing list. A test with 100,000 brackets failed before and passes now.

--- a/iristrack/config.py
+++ b/iristrack/config.py
@@ -207,7 +207,7 @@
         raise ConfigError("NODE_CONFIG names no file")
     try:
         told = json.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as fault:
+    except (OSError, ValueError, RecursionError) as fault:
         raise ConfigError(f"{path} cannot be read: {' '.join(str(fault).split())}") from None
     if not isinstance(told, dict):
         raise ConfigError(f"{path} holds no object")
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -536,7 +536,7 @@
     def _watch(self) -> None:
         """Follow discovery: the whole list first, then one call after another on one connection."""
         link: _Link | None = None
-        told = False
+        told = well = False
         try:
             while True:
                 try:
@@ -546,9 +546,16 @@
                     told = self._ask_discovery(link, wait_ms)
                     if not link.reader.empty:
                         raise http.Malformed(502, "more than was asked for")
-                except (OSError, ValueError, http.Malformed, http.Truncated) as fault:
-                    # Discovery may be down, silent or speak garbage: that ends this call only.
-                    logger.debug("discovery: {}", fault or type(fault).__name__)
+                    if not well:
+                        well = True
+                        logger.info("discovery answers: {} pool servers are known", len(self.targets))
+                except Cancelled:
+                    raise
+                except Exception as fault:
+                    # Discovery may be down, silent or speak garbage of any kind (JSON too deep to read, for
+                    # one): that ends this call only. Without its watch the sidecar would go blind.
+                    logger.log("WARNING" if well else "DEBUG", "discovery fails: {!r}", fault)
+                    well = False
                     if link is not None:
                         link.sock.close()
                         link = None
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -194,12 +194,16 @@
     until(lambda: not first.open)
     until(lambda: program.ask(f"x{time.monotonic_ns()}").head.status == 200)
     assert second.heads
+    until(lambda: "discovery answers" in program.log.read_text())
 
 
 def test_garbage_from_discovery_is_left_out(stage: Stage) -> None:
     pool = stage.pool("s1")
     program = stage.start()
-    good, bad = stage.discovery.handler, [b"[]", b"{", b'{"revision":9,"complete":true,"members":[{"id":1}]}']
+    good, bad = (
+        stage.discovery.handler,
+        [b"[]", b"{", b"[" * 100_000, b'{"revision":9,"complete":true,"members":[{"id":1}]}'],
+    )
 
     def spoilt(message: http.Message, sock: socket.socket) -> bytes | None:
         return http.response(200, bad.pop()) if bad else good(message, sock)
