--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -10,9 +10,12 @@
 import gc
 import os
 import resource
+import select
 import signal
 import socket
 import sys
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from importlib import metadata
 
@@ -27,6 +30,24 @@
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
+def log_to(descriptor: int) -> Callable[[str], None]:
+    """A sink for log lines that never waits: what its reader leaves no room for is dropped."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+
+    def write(line: str) -> None:
+        # Guards the loop: a full pipe that nobody reads would stop it at its next line. A pipe that is ready
+        # takes PIPE_BUF bytes without waiting.
+        data = line.encode("utf-8", "replace")
+        with suppress(OSError):
+            for at in range(0, len(data), select.PIPE_BUF):
+                if not poll.poll(0):
+                    return
+                os.write(descriptor, data[at : at + select.PIPE_BUF])
+
+    return write
+
+
 def _serve(config: Config) -> int:
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft != resource.RLIM_INFINITY and soft < config.sockets:
@@ -86,7 +107,9 @@
         print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}; classes {classes}")
         return 0
     logger.remove()
-    logger.add(sys.stderr, level=chosen.log_level, format="{time:HH:mm:ss.SSS} {level} {message}")
+    logger.add(
+        log_to(sys.stderr.fileno()), level=chosen.log_level, format="{time:HH:mm:ss.SSS} {level} {message}"
+    )
     return _serve(config)
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,14 +1,16 @@
-"""The configuration: nested JSON means what the simulator's first message means."""
+"""The configuration, which means what the simulator's first message means, and the log."""
 
 from __future__ import annotations
 
 import json
+import os
 from pathlib import Path
 
 import pytest
 from stage import ROOT, SETTINGS
 
 from iristrack import interface as mi
+from iristrack.__main__ import log_to
 from iristrack.config import ConfigError, flatten, load, read_address, read_settings
 
 
@@ -56,3 +58,14 @@
     with pytest.raises(ConfigError) as caught:
         load({"NODE_CONFIG": str(path)})
     assert "\n" not in str(caught.value)
+
+
+def test_a_log_that_nobody_reads_is_dropped_and_not_waited_for() -> None:
+    reading, writing = os.pipe()
+    write = log_to(writing)
+    for _ in range(1000):
+        write("x" * 999 + "\n")  # waits for ever from the 65th on, were it to wait
+    assert os.read(reading, 1000) == b"x" * 999 + b"\n"
+    os.close(reading)
+    write("and whom it cannot reach, it lets go\n")
+    os.close(writing)
