Give idle and silent clients' places to those who ask, end slow requests, refuse unknown classes

Checked: the sidecar's log (taken 3133, 1918, 16 in successive 10 s: accepting had stopped) and the CPU (0.24 s in the worst second, so no want of it). Ruled out: drains and the module (99 % in time in the first 10 s). At fault: front.py IDLE_NS (120 s, with places for 116) and REQUEST_NS (10 s) in _read, _accept that only paused at the bound, _transaction that sent any class on; sidecar.py most_connections, equal halves for both sides.

--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import re
 import socket
 from contextlib import suppress
@@ -19,13 +20,16 @@
 from iristrack.net.scheduler import HANG_UP, READ, WRITE, Cancelled, Scheduler, Task, clock
 from iristrack.net.sidecar import Answer, Ending, Sidecar, Transaction, most_connections
 
-IDLE_NS = 120 * mi.NS_PER_S  # a client's connection without a request is closed after so long
-REQUEST_NS = 10 * mi.NS_PER_S  # a request that has begun must be whole by then
+IDLE_NS = 120 * mi.NS_PER_S  # a client's connection between requests is closed after so long,
+CROWDED_IDLE_NS = 2 * mi.NS_PER_S  # after so long once half of the places are taken,
+SILENT_NS = 100 * mi.NS_PER_MS  # and one that never said anything after so long once all are
+CROWDED = 0.5
+REQUEST_NS = 2500 * mi.NS_PER_MS  # a request must be whole so long after it began, the first after connecting
 WRITE_NS = 5 * mi.NS_PER_S  # and its answer taken
+SWEEP_NS = 500 * mi.NS_PER_MS
 STOP_GRACE_NS = 500 * mi.NS_PER_MS  # the platform lets connections come for up to 400 ms after SIGTERM
 LINGER_NS = 50 * mi.NS_PER_MS  # what an idle connection is left after the grace
 PAUSE_NS = 50 * mi.NS_PER_MS  # between failed accepts
-BACKLOG = 1024
 ACCEPTS = 32  # most connections taken in one turn
 RECEIVE = 64 * 1024
 LONGEST_TARGET = 2048  # keys are remembered, so that their length bounds memory
@@ -45,9 +49,10 @@
 class _Terminal:
     """One client connection."""
 
-    __slots__ = ("answer", "fd", "reader", "sock", "task")
+    __slots__ = ("answer", "fd", "opened", "reader", "sock", "task")
 
     def __init__(self, sock: socket.socket) -> None:
+        self.opened = clock()
         self.sock = sock
         self.fd = sock.fileno()
         self.reader = http.Reader()
@@ -64,7 +69,11 @@
         self.sidecar = sidecar
         self.listen = listen
         self.terminals: set[_Terminal] = set()
-        self.most = most_connections(sidecar.config)
+        # Those without a request, since when, longest first: the ones that never asked, and the ones between
+        # requests.
+        self.silent: dict[_Terminal, int] = {}
+        self.idle: dict[_Terminal, int] = {}
+        self.most = most_connections(sidecar.config)[0]
         self.stopping = False
         self._listener: socket.socket | None = None
         self._accepting = False
@@ -78,8 +87,9 @@
         self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(self.listen)
-        self._listener.listen(BACKLOG)
+        self._listener.listen(self.sidecar.config.sockets)
         self._resume_accepting()
+        self._sweep()
 
     def stop(self) -> None:
         """Go on as before for the grace, then take nothing new; the loop ends with the last answer."""
@@ -127,6 +137,7 @@
             if len(self.terminals) >= self.most:
                 # Guards the descriptors: an accept that fails for want of one would spin the loop.
                 self._pause_accepting()
+                self._make_room()
                 return False
             try:
                 sock, _ = self._listener.accept()
@@ -146,13 +157,42 @@
             terminal.task = self.scheduler.spawn("terminal", self._serve, terminal)
         return True
 
+    def _make_room(self) -> None:
+        """All places are taken: those that ask nothing give theirs to those that wait outside.
+
+        Guards the usual clients against others that connect and say nothing, or ask once and stay.
+        """
+        now, closed = clock(), False
+        for places, span in ((self.silent, SILENT_NS), (self.idle, CROWDED_IDLE_NS)):
+            closed = closed or self._close_those(places, now - span, ACCEPTS)
+        if not closed:  # each that ends lets others in; until one does, look again
+            self.scheduler.call_at(now + SILENT_NS // 2, self._resume_accepting)
+
+    def _sweep(self) -> None:
+        """Guards memory and descriptors: a client that asked once may keep its connection for good."""
+        now = clock()
+        if len(self.terminals) > self.most * CROWDED:
+            self._close_those(self.idle, now - CROWDED_IDLE_NS, self.most)
+        self.scheduler.call_at(now + SWEEP_NS, self._sweep)
+
+    @staticmethod
+    def _close_those(places: dict[_Terminal, int], before: int, most: int) -> bool:
+        """Close the terminals that have been quiet since `before`, the longest first; true if any is."""
+        old = [t for t, since in itertools.islice(places.items(), most) if since <= before]
+        for terminal in old:
+            del places[terminal]
+            terminal.task.cancel()
+        return bool(old)
+
     def _serve(self, terminal: _Terminal) -> None:
         """One connection's life: request after request, one answer each."""
+        first = True
         try:
             while True:
-                message = self._read(terminal)
+                message = self._read(terminal, first)
                 if message is None or not self._exchange(terminal, message):
                     return
+                first = False
         except http.Malformed as fault:
             self._refuse_bytes(terminal, fault.status, str(fault))
         except (OSError, http.Truncated, Cancelled):
@@ -164,6 +204,8 @@
         finally:
             terminal.sock.close()
             self.terminals.discard(terminal)
+            self.silent.pop(terminal, None)
+            self.idle.pop(terminal, None)
             self._resume_accepting()
             self._end_if_done()
 
@@ -181,17 +223,19 @@
         except (OSError, Cancelled):
             return
 
-    def _read(self, terminal: _Terminal) -> http.Message | None:
+    def _read(self, terminal: _Terminal, first: bool) -> http.Message | None:
         """The next request; None when the connection is over."""
         reader = terminal.reader
         message = reader.feed(b"")
-        deadline, begun, continued = clock() + IDLE_NS, False, False
+        begun, continued = not reader.empty, False
+        if message is None and not begun:
+            (self.silent if first else self.idle)[terminal] = clock()
+        # Guards against clients that say nothing, or begin a request and never end it: they hold a place.
+        deadline = terminal.opened + REQUEST_NS if first else clock() + (REQUEST_NS if begun else IDLE_NS)
         while message is None:
             if self.closing and reader.empty:
                 # A request that crosses the end of the grace on its way is still taken.
                 deadline = min(deadline, clock() + LINGER_NS)
-            if not begun and not reader.empty:
-                begun, deadline = True, clock() + REQUEST_NS
             head = reader.awaiting_body
             if (
                 head is not None
@@ -209,6 +253,12 @@
                 if reader.empty:
                     return None
                 raise http.Malformed(408, "the request did not become whole in time") from None
+            if not begun:
+                begun = True
+                self.silent.pop(terminal, None)
+                self.idle.pop(terminal, None)
+                if not first:
+                    deadline = clock() + REQUEST_NS
             message = reader.feed(data) if data else reader.end()
             if message is None and not data:
                 return None
@@ -296,7 +346,10 @@
         ):
             raise http.Malformed(400, "X-Caller is needed")
         class_name = name.decode("latin-1")
-        repeat = self._repeats.get(class_name)
+        if class_name not in self._repeats:
+            # Guards the pool servers' standing: they answer what they do not know with errors.
+            raise http.Malformed(400, "no such class")
+        repeat = self._repeats[class_name]
         wanted = {mi.Repeat.SAFE: b"GET", mi.Repeat.KEYED: b"POST"}.get(repeat, head.method)
         if head.method != wanted:
             raise http.Malformed(405, "the class decides the method")
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -155,7 +155,7 @@
         self.transactions: dict[str, Transaction] = {}
         self.targets: dict[str, _Target] = {}
         self.links = 0  # open connections to pool servers
-        self.most_links = most_connections(config)
+        self.most_links = most_connections(config)[1]
         self.ready = False  # can it serve: is there a service table?
         self.counts = Counts()
         self.watching: Task | None = None
@@ -649,12 +649,16 @@
                 del self.targets[target.id]
 
 
-def most_connections(config: Config) -> int:
-    """How many connections each side may hold, by the limits on descriptors and on memory."""
-    most = (config.sockets - OWN_DESCRIPTORS) // 2
-    if config.memory_mb:  # half of the memory, were every connection on both sides full to its bounds
-        most = min(most, (config.memory_mb << 20) // 2 // (2 * (http.MAX_HEAD + http.MAX_BODY)))
-    return max(8, most)
+def most_connections(config: Config) -> tuple[int, int]:
+    """How many connections clients and pool servers may have, by the limits on descriptors and memory.
+
+    Each open request needs one of both; clients that have none yet, or no longer, make up the difference.
+    """
+    most = config.sockets - OWN_DESCRIPTORS
+    if config.memory_mb:  # half of the memory, were every connection full to its bounds
+        most = min(most, (config.memory_mb << 20) // 2 // (http.MAX_HEAD + http.MAX_BODY))
+    links = max(8, most * 2 // 5)
+    return max(8, most - links), links
 
 
 def _is_quiet(sock: socket.socket) -> bool:
