Follow discovery to its new address on SIGHUP, and never end on it

Checked: no handler for SIGHUP in __main__.py (_serve caught SIGTERM and SIGINT alone), and load() lets NODE_DISCOVERY stand over the file, so that even a re-read file would not have moved the watch. At fault: __main__.py _serve, config.py load. Signals now come as their numbers on one socket, caught before the configuration is read; a bad file is one line in the log. Settings other than discovery want a restart, and a line in the log says so.

--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -48,7 +48,35 @@
     return write
 
 
-def _serve(config: Config) -> int:
+def _catch_signals() -> socket.socket:
+    """Have the signals that the program lives through come as bytes, each its own number, on a socket.
+
+    Python runs signal handlers between bytecodes, and `poll` goes on after them: the socket ends its wait.
+    What comes before the loop runs waits there; a SIGHUP must never end the process.
+    """
+    woken, waker = socket.socketpair()
+    woken.setblocking(False)
+    waker.setblocking(False)
+    signal.set_wakeup_fd(waker.detach(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: None)
+    return woken
+
+
+def _reload(sidecar: Sidecar) -> None:
+    """Read the configuration anew and follow discovery to where it now is; a bad file changes nothing."""
+    try:
+        config = load(os.environ, again=True)
+    except ConfigError as fault:
+        logger.error("SIGHUP: the configuration stays as it was: {}", fault)
+        return
+    logger.info("SIGHUP: discovery is at {}:{}", *config.discovery)
+    if config.settings != sidecar.settings or config.listen != sidecar.config.listen:
+        logger.warning("SIGHUP: changed settings and the address to listen on take effect at the next start")
+    sidecar.follow(config.discovery)
+
+
+def _serve(config: Config, woken: socket.socket) -> int:
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft != resource.RLIM_INFINITY and soft < config.sockets:
         # The bounds on connections count on the descriptors that the configuration promises.
@@ -58,18 +86,14 @@
     scheduler = Scheduler()
     sidecar = Sidecar(scheduler, config)
     front = HttpFront(scheduler, sidecar, config.listen)
-    # Python runs signal handlers between bytecodes, and `poll` goes on after them: the pipe ends its wait.
-    woken, waker = socket.socketpair()
-    woken.setblocking(False)
-    waker.setblocking(False)
 
     def signalled() -> None:
-        woken.recv(64)
-        front.stop()
+        numbers = woken.recv(64)
+        if signal.SIGHUP in numbers:
+            _reload(sidecar)
+        if signal.SIGTERM in numbers or signal.SIGINT in numbers:
+            front.stop()
 
-    signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: None)
     scheduler.watch(woken.fileno(), signalled)
     gc.collect()  # before the first client: what is there now stays, and need not be looked at again
     gc.freeze()
@@ -97,12 +121,13 @@
     if chosen.command == "version":
         print(f"iristrack {__version__} (greenlet {metadata.version('greenlet')})")
         return 0
+    woken = _catch_signals() if chosen.command == "serve" else None
     try:
         config = load(os.environ)
     except ConfigError as fault:
         print(f"iristrack: {fault}", file=sys.stderr)
         return 2
-    if chosen.command == "check-config":
+    if woken is None:
         classes = ", ".join(c.name for c in config.settings.classes)
         print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}; classes {classes}")
         return 0
@@ -110,7 +135,7 @@
     logger.add(
         log_to(sys.stderr.fileno()), level=chosen.log_level, format="{time:HH:mm:ss.SSS} {level} {message}"
     )
-    return _serve(config)
+    return _serve(config, woken)
 
 
 if __name__ == "__main__":
--- a/iristrack/config.py
+++ b/iristrack/config.py
@@ -200,8 +200,12 @@
         return crc32(str(value).encode())
 
 
-def load(environment: Mapping[str, str]) -> Config:
-    """Read the file that NODE_CONFIG names; the other variables stand above what it says."""
+def load(environment: Mapping[str, str], again: bool = False) -> Config:
+    """Read the file that NODE_CONFIG names; the other variables stand above what it says.
+
+    Read again, while the program runs, its `discovery` stands above the variable, which tells where discovery
+    was at the start and cannot change.
+    """
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG names no file")
@@ -219,10 +223,11 @@
         known = told.get("known") or {}
         if not isinstance(limits, dict) or not isinstance(known, dict):
             raise ValueError("limits and known are objects")
+        at_start, now = environment.get("NODE_DISCOVERY"), told.get("discovery")
         return Config(
             name=str(environment.get("NODE_NAME") or told.get("name") or "sidecar"),
             listen=read_address(str(environment.get("NODE_LISTEN") or told.get("listen") or "")),
-            discovery=read_address(str(environment.get("NODE_DISCOVERY") or told.get("discovery") or "")),
+            discovery=read_address(str((now or at_start if again else at_start or now) or "")),
             seed=_seed(told.get("seed", "")),
             settings=settings,
             known=known,
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -15,7 +15,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from time import process_time
 
@@ -198,6 +198,19 @@
         self.scheduler.call_at(clock() + SWEEP_NS, self._sweep)
         self.scheduler.call_at(clock() + REPORT_EVERY_NS, self._report_regularly)
 
+    def follow(self, discovery: Address) -> None:
+        """Discovery is elsewhere from now on: watch it there at once. Nothing else changes.
+
+        What is known of pool servers holds until the new one tells its whole list; its revisions are its own.
+        """
+        if discovery == self.config.discovery:
+            return
+        self.config = replace(self.config, discovery=discovery)
+        self._revision = None
+        if self.watching is not None and not self.watching.done:
+            self._subscribe(False)
+            self._subscribe(True)
+
     def stop(self) -> None:
         """End what runs beside the transactions."""
         self._stopping = True
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -168,13 +168,14 @@
             "seed": "8c1f30d27a5be964", "known": discovery.table(), "settings": SETTINGS,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         }  # fmt: skip
-        path = folder / "config.json"
-        path.write_text(json.dumps(config | changes))
+        self.config, self.path = config | changes, folder / "config.json"
+        self.path.write_text(json.dumps(self.config))
         self.log = folder / "log.txt"
+        told = {"NODE_CONFIG": str(self.path), "NODE_DISCOVERY": discovery.address}
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "iristrack", "serve", "--log-level", "DEBUG"],
-                cwd=ROOT, env=os.environ | {"NODE_CONFIG": str(path)}, stdout=log, stderr=log,
+                cwd=ROOT, env=os.environ | told, stdout=log, stderr=log,
             )  # fmt: skip
         until(self._healthy)
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import socket
 import subprocess
@@ -240,6 +241,32 @@
         Terminal(program.port)
 
 
+def test_sighup_follows_discovery_to_its_new_address_and_drops_nothing(stage: Stage) -> None:
+    # The file stands over NODE_DISCOVERY then; a file that cannot be read changes nothing.
+    let = threading.Event()
+    first = stage.pool("s1", lambda message, sock: let.wait() and serve(message, sock))
+    program = stage.start()
+    waiting = Terminal(program.port)
+    waiting.sock.sendall(call("r1"))
+    until(lambda: first.heads)
+    program.path.write_text("{")
+    program.process.send_signal(signal.SIGHUP)
+    until(lambda: "stays as it was" in program.log.read_text())
+    old, stage.discovery = stage.discovery, Discovery()  # its revisions start anew
+    program.path.write_text(json.dumps(program.config | {"discovery": stage.discovery.address}))
+    program.process.send_signal(signal.SIGHUP)
+    until(lambda: not old.open)
+    old.close()
+    let.set()
+    assert waiting.read().head.status == 200
+    second = stage.pool("s2")  # told by the new one alone, which still waits when it is asked for changes
+    until(lambda: program.ask("r2").head.status == 200 and second.heads)
+    stage.discovery.put("s2", second.address, "terminating")
+    until(lambda: not second.open)
+    program.process.send_signal(signal.SIGTERM)
+    assert program.process.wait() == 0
+
+
 GOOD = call("r1")
 
 
