Hold errors against a server for their class alone, weighed against all servers' share

At fault: balance.py _bad and _eject, which held errors against the whole server; the connect_failed branch, which ejected for half a second after one broken connection at a server that had just answered.

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -31,8 +31,11 @@
 FEWEST_AT_ALL = 3.0  # room that a balancer has at all servers together to start with, at the least
 LEAST_LIMIT = 0.1  # below 1 a limit is a share of the time: the server rests between our requests
 WIDEN = 0.5  # how full a server past a key's pair may be to take it
-ERRORS_OUT = 2.0  # recent errors that eject a server
+ERRORS_OUT = 2.0  # recent errors that eject a server, where errors are rare
 ERROR_FADE = 0.8  # what is left of that count after each good answer
+FEWEST_FAULTY = 0.02  # the share of errors is taken to be no lower,
+LEAST_ERROR = 0.5  # and an error to count no less, where that share is high
+FAILED_CONNECTS = 2  # so many in a row eject a server that has answered a moment ago
 SILENT_CHANCE = 0.001  # a row of unanswered overdue attempts this unlikely on a sound server ejects it
 TRIALS_BACK = 3  # good trials that bring a server back after errors
 FEWEST_OVERDUE = 0.02  # the share of overdue attempts is taken to be no lower
@@ -70,10 +73,22 @@
         return self.inflight >= self.limit or now < self.rest_until
 
 
+class _Suspicion:
+    """What is held against a server, or against it for one class: may it get requests, or only trials?"""
+
+    __slots__ = ("backoff", "ejected", "errors", "needed", "out_until")
+
+    def __init__(self) -> None:
+        self.ejected = False
+        self.errors = 0.0  # recent ones
+        self.needed = self.out_until = 0
+        self.backoff = FIRST_BACKOFF_NS
+
+
 class _Server:
     __slots__ = (
-        "backoff", "cell", "down", "ejected", "errors", "hash", "id", "inflight", "last_ok", "needed",
-        "out_until", "ready", "room", "silent", "started", "token_at", "tokens", "warm_at", "weight", "zone",
+        "by_class", "cell", "down", "failed_connects", "hash", "id", "inflight", "last_ok", "ready", "room",
+        "silent", "started", "token_at", "tokens", "warm_at", "weight", "whole", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: mi.ServerEntry, room: _Room) -> None:
@@ -92,17 +107,27 @@
         """Start afresh, as for a process that just started."""
         if self.room.servers == 1:
             self.room.limit, self.room.rest_until = self.room.start, 0
-        self.ejected = self.down = False
-        self.errors = 0.0
-        self.silent = self.needed = self.out_until = self.last_ok = 0
-        self.backoff = FIRST_BACKOFF_NS
+        self.down = False
+        self.whole = _Suspicion()
+        self.by_class: dict[str, _Suspicion] = {}
+        self.silent = self.failed_connects = self.last_ok = 0
         # A part of a token, at random: a whole one would let a thousand balancers at a cold server at once.
         self.tokens = tokens
         self.token_at = 0
 
+    @property
+    def ejected(self) -> bool:
+        return self.whole.ejected
+
+    def ejections(self, name: str) -> list[_Suspicion]:
+        """What keeps requests of this class from it, but for trials."""
+        if not (self.whole.ejected or self.by_class):
+            return []
+        return [s for s in (self.whole, self.by_class.get(name)) if s is not None and s.ejected]
+
 
 class _Class:
-    __slots__ = ("base", "dev", "least", "low", "mean", "outstanding", "seen", "spec", "total")
+    __slots__ = ("base", "dev", "faulty", "least", "low", "mean", "outstanding", "seen", "spec", "total")
 
     def __init__(self, spec: mi.RequestClass) -> None:
         self.spec = spec
@@ -111,6 +136,7 @@
         self.base = float(spec.aim_ns)  # mean latency when uncrowded: the lowest window's, slowly forgotten
         self.low = spec.aim_ns  # the fastest answer: what no crowd changes, such as waits on others
         self.least = spec.aim_ns  # and that of this window
+        self.faulty = FEWEST_FAULTY  # the share of attempts that end as errors at servers in use
         self.seen = self.total = 0
         self.outstanding: deque = deque()  # (request, attempt), oldest first
 
@@ -300,8 +326,9 @@
         for server in self._ranking(request.event.key, request.part):
             if request.attempts and not self._may_send(now, request, server):
                 continue
-            if server.ejected:
-                if now >= server.out_until and seen < 2 and self._has_room(now, server):
+            ejections = server.ejections(request.cls.spec.name)
+            if ejections:
+                if all(now >= e.out_until for e in ejections) and seen < 2 and self._has_room(now, server):
                     return server  # a trial
                 continue
             seen += 1
@@ -431,7 +458,7 @@
 
     def _pair(self, request: _Open) -> list[_Server]:
         ranking = self._ranking(request.event.key, request.part)
-        return [s for s in ranking if not s.ejected][:2]
+        return [s for s in ranking if not s.ejections(request.cls.spec.name)][:2]
 
     def _serve_waiting(self, now: int, room: _Room) -> None:
         """Room may have come up: let in those that wait for it."""
@@ -450,8 +477,8 @@
 
     def _send(self, now: int, request: _Open, server: _Server) -> None:
         self.held.pop(request.event.id, None)
-        if server.ejected:
-            server.out_until = now + server.backoff  # one trial at a time
+        for ejection in server.ejections(request.cls.spec.name):
+            ejection.out_until = now + ejection.backoff  # one trial at a time
         if now < server.warm_at:
             server.tokens -= 1.0
         server.count(1)
@@ -568,18 +595,24 @@
         if attempt.overdue and self.shared:  # a jammed or half-hung server shows in single late answers
             self._count_on(now, server)
         server.last_ok = now
-        server.silent = 0
-        server.errors *= ERROR_FADE
+        server.silent = server.failed_connects = 0
+        ejections = server.ejections(cls.spec.name)
+        if not ejections:
+            cls.faulty += (FEWEST_FAULTY - cls.faulty) / 64
+        if cls.spec.name in server.by_class:
+            server.by_class[cls.spec.name].errors *= ERROR_FADE
         if now >= server.warm_at:
             self.warm_answers += 1
         self._adapt(now, server, cls, latency)
-        if server.ejected:
-            server.needed -= 1
-            server.out_until = now
-            if server.needed <= 0:
-                server.ejected = server.down = False
-                server.backoff = FIRST_BACKOFF_NS
-                self.actions.append(mi.Log(f"server {server.id} returned"))
+        for ejection in ejections:
+            ejection.needed -= 1
+            ejection.out_until = now
+            if ejection.needed <= 0:
+                ejection.ejected = False
+                ejection.backoff = FIRST_BACKOFF_NS
+                server.down = server.down and ejection is not server.whole
+                of = "" if ejection is server.whole else f" for {cls.spec.name}"
+                self.actions.append(mi.Log(f"server {server.id} returned{of}"))
 
     def _count_on(self, now: int, server: _Server) -> None:
         """Count an attempt that ended as in flight for a while.
@@ -601,20 +634,29 @@
         if outcome in COUNTS_ON:
             self._count_on(now, server)
         if outcome is mi.Outcome.ERROR or outcome is mi.Outcome.RESET:
-            server.errors += 1
-            if server.errors >= ERRORS_OUT:
-                self._eject(now, server, TRIALS_BACK, "errors")
+            # Guards a server that fails one class and serves another well: its errors count for theirs alone.
+            # And where answers are spoilt or break off at all servers alike, they say little of a single one.
+            name, faulty = request.cls.spec.name, request.cls.faulty
+            suspicion = server.by_class.setdefault(name, _Suspicion())
+            suspicion.errors += max(LEAST_ERROR, math.log(faulty) / math.log(FEWEST_FAULTY))
+            if not server.ejections(name):
+                request.cls.faulty += (1 - faulty) / 64
+            if suspicion.errors >= ERRORS_OUT:
+                self._eject(now, server, suspicion, TRIALS_BACK, f"errors of {name}")
         elif outcome is mi.Outcome.TIMEOUT:
             # An attempt that was sent late times out early: that is no sign of a fast server.
             self._adapt(now, server, request.cls, max(now - attempt.sent, request.cls.spec.aim_ns))
-            if server.ejected:
-                self._eject(now, server, server.needed, "silence")
+            for ejection in server.ejections(request.cls.spec.name):
+                self._eject(now, server, ejection, ejection.needed, "silence")
         elif outcome is mi.Outcome.REJECTED:
             server.room.limit = max(LEAST_LIMIT, server.room.limit * (1 - 0.5 / server.room.servers))
         elif outcome is mi.Outcome.CONNECT_FAILED:
             # The list may be late or away: what cannot be reached is out at once, and tried now and then.
-            server.down = True
-            self._eject(now, server, 1, "no connection")
+            # But a single connection may break at a server that goes on answering over others.
+            server.failed_connects += 1
+            if server.failed_connects >= FAILED_CONNECTS or now > server.last_ok + FIRST_BACKOFF_NS:
+                server.down = True
+                self._eject(now, server, server.whole, 1, "no connection")
 
     def _adapt(self, now: int, server: _Server, cls: _Class, latency: int) -> None:
         """Guards against overload, and servers turning slow in a crowd: keep answers well within the aim."""
@@ -639,17 +681,18 @@
         else:  # small steps, as one slow answer says little of all servers; one request may always be out
             room.limit = max(1.0, room.limit + step * min(1.0, room.limit / FEWEST_AT_ALL))
 
-    def _eject(self, now: int, server: _Server, needed: int, reason: str) -> None:
-        if server.ejected:
-            server.backoff = min(LAST_BACKOFF_NS, server.backoff * 2)
+    def _eject(self, now: int, server: _Server, held: _Suspicion, needed: int, reason: str) -> None:
+        if held.ejected:
+            held.backoff = min(LAST_BACKOFF_NS, held.backoff * 2)
         else:
-            out = sum(1 for s in self.ready if s.ejected and not s.down)
+            name = next((n for n, s in server.by_class.items() if s is held), "")
+            out = sum(1 for s in self.ready if s.ejections(name) and not s.down)
             if not server.down and out + 1 > MOST_OUT * len(self.ready):
                 return
-            server.ejected = True
+            held.ejected = True
             self.actions.append(mi.Log(f"server {server.id} ejected: {reason}"))
-        server.needed = max(needed, 1)
-        server.out_until = now + server.backoff
+        held.needed = max(needed, 1)
+        held.out_until = now + held.backoff
 
     # ---- housekeeping
 
@@ -724,4 +767,4 @@
                 server.silent += 1
                 # Judged against the fleet: where all are slow, slowness is no sign of a hang.
                 if not server.ejected and self.overdue_share**server.silent < SILENT_CHANCE:
-                    self._eject(now, server, 1, "silence")
+                    self._eject(now, server, server.whole, 1, "silence")
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 from driver import MS, Host, classes, settings
@@ -58,8 +59,47 @@
     firsts = drive(host, 300, set(), Outcome.OK)
     assert firsts[-100:].count("s1") > 5
     lines = [a.text for _, a in host.log if isinstance(a, Log)]
-    assert "server s1 ejected: errors" in lines
-    assert "server s1 returned" in lines
+    assert "server s1 ejected: errors of read" in lines
+    assert "server s1 returned for read" in lines
+
+
+def test_a_server_that_fails_one_class_goes_on_serving_another() -> None:
+    # Half of the servers failed one class: thrown out whole, they left the other class to the rest.
+    host = Host()
+    drive(host, 1000, {"s1"}, Outcome.ERROR)
+    assert drive(host, 40, {"s1"}, Outcome.ERROR).count("s1") <= 2
+    assert drive(host, 40, set(), Outcome.OK, "move").count("s1") > 5
+
+
+def test_errors_at_all_servers_alike_eject_nobody() -> None:
+    # Answers that break off at every server, one in ten: those left after ejections would only be crowded.
+    host = Host(servers=6)
+    chance = Random(3)
+    for i in range(1500):
+        request = host.ask("read", f"k{i % 40}")
+        for _ in range(len(host.attempts)):
+            if request not in host.attempts or host.answers(request):
+                break
+            ok = chance.random() > 0.1
+            host.end(request, Outcome.OK if ok else Outcome.RESET)
+            if ok:
+                break
+        host.wait(10 * MS)
+    assert sum(isinstance(a, Log) and "ejected" in a.text for _, a in host.log) <= 2
+
+
+def test_one_broken_connection_does_not_eject_a_server_that_answers() -> None:
+    host = Host()
+    host.serve(50)
+    request = host.ask("move")
+    server = host.attempts[request][0]
+    host.end(request, Outcome.CONNECT_FAILED)
+    assert not host.balancer.servers[server].ejected
+    host.end(request)
+    again = host.ask("move")
+    assert host.attempts[again] == [server]
+    host.end(again, Outcome.CONNECT_FAILED)
+    assert host.balancer.servers[server].ejected
 
 
 def test_suspicion_never_ejects_more_than_half() -> None:
