End connections with their answer where clients hold many, health checks included

Traced every terminal connection: clients ask once and keep the connection 1 to 2.5 s, until their share (128, a third of 384) is full and none is left to ask on; later 130 connections that asked /_health alone took every place. Checked: 154 to 215 terminals with 128 idle and 0 to 4 transactions open. Ruled out: the module (nothing held, nothing ejected), CPU (0.20 s in the worst second), silent clients (those made room, as meant). At fault: front.py _exchange, which kept every connection that would be kept, and the /_health and 409 paths with it.

--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -21,9 +21,9 @@
 from iristrack.net.sidecar import Answer, Ending, Sidecar, Transaction, most_connections
 
 IDLE_NS = 120 * mi.NS_PER_S  # a client's connection between requests is closed after so long,
-CROWDED_IDLE_NS = 2 * mi.NS_PER_S  # after so long once half of the places are taken,
-SILENT_NS = 100 * mi.NS_PER_MS  # and one that never said anything after so long once all are
-CROWDED = 0.5
+CROWDED_IDLE_NS = 2 * mi.NS_PER_S  # after so long where clients' connections are many,
+SILENT_NS = 100 * mi.NS_PER_MS  # and one that never said anything after so long once all places are taken
+MANY = 2 / 9  # of the descriptors; clients hold no more than a third of them for their requests
 REQUEST_NS = 2500 * mi.NS_PER_MS  # a request must be whole so long after it began, the first after connecting
 WRITE_NS = 5 * mi.NS_PER_S  # and its answer taken
 SWEEP_NS = 500 * mi.NS_PER_MS
@@ -74,6 +74,7 @@
         self.silent: dict[_Terminal, int] = {}
         self.idle: dict[_Terminal, int] = {}
         self.most = most_connections(sidecar.config)[0]
+        self.many = min(int(sidecar.config.sockets * MANY), self.most // 2)
         self.stopping = False
         self._listener: socket.socket | None = None
         self._accepting = False
@@ -119,6 +120,11 @@
         """Is it past the grace, so that connections end with the answer that they wait for?"""
         return self.stopping and self._listener is None
 
+    @property
+    def crowded(self) -> bool:
+        """Do clients hold many connections, on which they ask or have asked?"""
+        return len(self.terminals) - len(self.silent) > self.many
+
     # ---- connections
 
     def _resume_accepting(self) -> None:
@@ -171,7 +177,7 @@
     def _sweep(self) -> None:
         """Guards memory and descriptors: a client that asked once may keep its connection for good."""
         now = clock()
-        if len(self.terminals) > self.most * CROWDED:
+        if self.crowded:
             self._close_those(self.idle, now - CROWDED_IDLE_NS, self.most)
         self.scheduler.call_at(now + SWEEP_NS, self._sweep)
 
@@ -280,25 +286,32 @@
         """Answer one request; false when the connection ends with it."""
         head = message.head
         arrived = clock()
-        keep = head.keeps_alive
         if head.target == b"/_health":
             if head.method not in (b"GET", b"HEAD"):
                 raise http.Malformed(405, "GET only")
-            status = 200 if self.sidecar.ready else 503
-            self._write(terminal, http.response(status, b"", _PLAIN, close=not keep or self.closing))
-            return keep and not self.closing
+            status, keep = 200 if self.sidecar.ready else 503, self._keeps(head)
+            self._write(terminal, http.response(status, b"", _PLAIN, close=not keep))
+            return keep
         transaction = self._transaction(terminal, message, arrived)
         terminal.answer = None
         if not self.sidecar.submit(transaction):
-            data = http.response(409, b"this call id is in flight\n", _PLAIN, close=not keep or self.closing)
-            self._write(terminal, data)
-            return keep and not self.closing
+            keep = self._keeps(head)
+            self._write(terminal, http.response(409, b"this call id is in flight\n", _PLAIN, close=not keep))
+            return keep
         if not self._await_answer(terminal, transaction):
             return False
-        keep = keep and not self.closing
+        keep = self._keeps(head)
         self._write(terminal, _answer_bytes(terminal.answer, close=not keep))
         return keep
 
+    def _keeps(self, head: http.Head) -> bool:
+        """Does the connection go on after this request's answer?
+
+        Guards clients whose share of connections is full of kept ones, on which nobody asks again: where they
+        hold many, a connection ends with its answer, whatever was asked.
+        """
+        return head.keeps_alive and not self.closing and not self.crowded
+
     def _await_answer(self, terminal: _Terminal, transaction: Transaction) -> bool:
         """Wait for the core, and see it when the client hangs up meanwhile; false if it did."""
         events = READ
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -326,6 +326,18 @@
     assert all(t.sock.fileno() >= 0 for t in crowd)
 
 
+@pytest.mark.parametrize("asked", [call("r"), b"GET /_health HTTP/1.1\r\n\r\n"])
+def test_a_connection_ends_with_its_answer_where_clients_hold_many(stage: Stage, asked: bytes) -> None:
+    # Each of many clients asked once, for an answer or for health, and kept its connection, until none of
+    # them had one left to ask on.
+    stage.pool("s1")
+    program = stage.start(limits={"sockets": 64})
+    crowd = [Terminal(program.port) for _ in range(20)]
+    kept = [t.exchange(asked).head.keeps_alive for t in crowd]
+    assert kept[0] and not kept[-1]
+    assert crowd[-1].ended()
+
+
 @pytest.mark.parametrize(("sent", "status"), [(b"", None), (b"GET /api/k1 HT", 408), (call("r1")[:-2], 408)])
 def test_what_does_not_become_a_request_is_ended(shared: Program, sent: bytes, status: int | None) -> None:
     # Such a client is owed an error or a close within 3 s of connecting, however slowly it goes on.
