Give up a lost attempt in time for another, where attempts get lost at all servers alike

Traced each: mostly reused connections that say nothing, some answers that stop half-way; refused then for want of time. wide+rate+silent+leave had the same. Ruled out: connecting (no failed connects), ejections (3 in 20 s), stale connections. At fault: balance.py _send, whose timeout was always all that was left of the client's patience. Now, from 3 % lost on and while none is held, 1.5 x mean x ln(2 / share).

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -39,6 +39,9 @@
 SILENT_CHANCE = 0.001  # a row of unanswered overdue attempts this unlikely on a sound server ejects it
 TRIALS_BACK = 3  # good trials that bring a server back after errors
 FEWEST_OVERDUE = 0.02  # the share of overdue attempts is taken to be no lower
+FEWEST_LOST = 0.01  # the share of attempts without any answer is taken to be no lower,
+LOSSY = 0.03  # and from this one on an attempt far overdue is given up in time for another,
+LOST_PATIENCE = 1.5  # after so many times the wait that loss explains better than an exponential latency does
 MOST_OUT = 0.5  # share of the ready servers that may be ejected on suspicion
 FIRST_BACKOFF_NS = mi.NS_PER_S // 2
 LAST_BACKOFF_NS = 8 * mi.NS_PER_S
@@ -215,6 +218,7 @@
         self.failures: dict[tuple, int] = {}  # client retries are matched with their first try
         self.retries = RETRY_BURST
         self.overdue_share = FEWEST_OVERDUE
+        self.lost_share = FEWEST_LOST
         self.ticking = False
         self.actions: list[mi.Action] = []
         self.started_at: int | None = None
@@ -485,7 +489,21 @@
         attempt = _Attempt(server, now)
         request.attempts.append(attempt)
         request.cls.outstanding.append((request, attempt))
-        self.actions.append(mi.Send(request.event.id, server.id, max(1, request.useful_until - now)))
+        self.actions.append(mi.Send(request.event.id, server.id, self._patience(now, request)))
+
+    def _patience(self, now: int, request: _Open) -> int:
+        """How long to wait for the attempt that goes out now.
+
+        Guards against connections that fall silent, and answers that stop half-way, at all servers alike: to
+        wait for those until the client leaves would lose each such request. While others are held for want of
+        room it is a crowd that answers late, and more work would not help.
+        """
+        cls, left = request.cls, max(1, request.useful_until - now)
+        again = cls.spec.repeat is not mi.Repeat.UNSAFE and self.retries >= 1 and not self.held
+        if self.lost_share < LOSSY or not again or len(request.attempts) >= self.settings.limits.max_attempts:
+            return left
+        patience = int(LOST_PATIENCE * cls.mean * math.log(2 / self.lost_share))
+        return patience if patience + cls.mean + cls.dev < left else left
 
     def _answer(self, now: int, request: _Open) -> None:
         """The one final answer, other than a served one."""
@@ -599,6 +617,7 @@
         ejections = server.ejections(cls.spec.name)
         if not ejections:
             cls.faulty += (FEWEST_FAULTY - cls.faulty) / 64
+            self.lost_share += (FEWEST_LOST - self.lost_share) / 128
         if cls.spec.name in server.by_class:
             server.by_class[cls.spec.name].errors *= ERROR_FADE
         if now >= server.warm_at:
@@ -644,9 +663,12 @@
             if suspicion.errors >= ERRORS_OUT:
                 self._eject(now, server, suspicion, TRIALS_BACK, f"errors of {name}")
         elif outcome is mi.Outcome.TIMEOUT:
+            ejections = server.ejections(request.cls.spec.name)
+            if not ejections:
+                self.lost_share += (1 - self.lost_share) / 128
             # An attempt that was sent late times out early: that is no sign of a fast server.
             self._adapt(now, server, request.cls, max(now - attempt.sent, request.cls.spec.aim_ns))
-            for ejection in server.ejections(request.cls.spec.name):
+            for ejection in ejections:
                 self._eject(now, server, ejection, ejection.needed, "silence")
         elif outcome is mi.Outcome.REJECTED:
             server.room.limit = max(LEAST_LIMIT, server.room.limit * (1 - 0.5 / server.room.servers))
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -88,6 +88,33 @@
     assert sum(isinstance(a, Log) and "ejected" in a.text for _, a in host.log) <= 2
 
 
+@pytest.mark.parametrize("lost", [0.0, 0.06])
+def test_a_lost_attempt_is_given_up_in_time_for_another(lost: float) -> None:
+    # Connections fell silent at all servers alike: each such request waited until its client left.
+    host = Host(servers=6)
+    chance = Random(3)
+    due: list[tuple[int, Send]] = []
+    for i in range(800):
+        request = host.ask("read", f"k{i % 40}", give_up=600 * MS)
+        if request in host.attempts:
+            if chance.random() >= lost:
+                host.wait(10 * MS)
+                host.end(request)
+            else:
+                send = host.sends(request)[-1]
+                due.append((host.now + send.timeout_ns, send))
+        host.wait(5 * MS)
+        while due and due[0][0] <= host.now:
+            _, send = due.pop(0)
+            host.end(send.id, Outcome.TIMEOUT, 0)
+            if len(host.attempts[send.id]) > 1:
+                host.end(send.id)
+    waits = [a.timeout_ns for a in host.sends()[-100:]]
+    assert all((wait < 300 * MS) is (lost > 0) for wait in waits)
+    again = [r for r, sent in host.attempts.items() if len(sent) > 1]
+    assert bool(again) is (lost > 0)
+
+
 def test_one_broken_connection_does_not_eject_a_server_that_answers() -> None:
     host = Host()
     host.serve(50)
