Let a keyed request ask its group's only server again after a break, and double the retry budget

Ruled out: the limits (room at all of them), hopelessness (2 of 29). At fault: balance.py RETRY_SHARE, _may_send (no server twice).

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -48,7 +48,7 @@
 FEWEST_WARM = 0.25  # share of the servers in use that must be warm to learn what one bears
 IDLE_KEPT_NS = mi.NS_PER_S // 2  # a connection that is used less often than this is closed when idle
 RECENT = 0.9  # what a second leaves of the counts of tenants' requests
-RETRY_SHARE = 0.1  # extra attempts earned by each request
+RETRY_SHARE = 0.2  # extra attempts earned by each request
 RETRY_BURST = 10.0
 HOT_SHARE = 0.25  # a key may bring a pair so much of a server's even share of the requests before it is split
 COUNTED_REQUESTS = 512  # how popular a key is shows in about so many requests
@@ -57,7 +57,8 @@
 MOST_CLASSES = 64
 SPARE_ENTRIES = 64  # places a server's waiting list may hold beyond twice those that wait
 COUNTS_ON = frozenset({mi.Outcome.ERROR, mi.Outcome.RESET, mi.Outcome.TIMEOUT})  # as in flight for a while
-OUT, MAYBE_RAN, DID_NOT_RUN = range(3)
+BREAKS = frozenset({mi.Outcome.RESET, mi.Outcome.TIMEOUT})  # what may be the connection's fault alone
+OUT, MAYBE_RAN, BROKE, DID_NOT_RUN = range(4)  # who broke may have run as well
 TICK, ASK_AGAIN = range(2)  # tokens of timers
 
 
@@ -348,6 +349,19 @@
                     best, least = server, load
             if seen >= 2 and best is not None:
                 return best
+        if best is None and request.attempts and request.attempts[-1].state == BROKE and not self.held:
+            # Guards a keyed request whose group has no other server to take it: where its connection broke or
+            # fell silent, the same one is asked once more; not in a crowd, which makes answers late as well.
+            server = request.attempts[-1].server
+            if (
+                request.cls.spec.repeat is mi.Repeat.KEYED
+                and sum(a.server is server for a in request.attempts) == 1
+                and server.ready
+                and not server.ejections(request.cls.spec.name)
+                and self._may_send(now, request, server, again=True)
+                and self._has_room(now, server)
+            ):
+                return server
         return best
 
     def _has_room(self, now: int, server: _Server) -> bool:
@@ -370,11 +384,11 @@
         server.token_at = now
         return server.tokens >= 1.0
 
-    def _may_send(self, now: int, request: _Open, server: _Server) -> bool:
-        """Rule 2, and no server twice: may this request be sent to this server after its earlier attempts?"""
+    def _may_send(self, now: int, request: _Open, server: _Server, again: bool = False) -> bool:
+        """Rule 2, and no server twice but `again`: may this server get it after its earlier attempts?"""
         spec = request.cls.spec
         for attempt in request.attempts:
-            if attempt.server is server:
+            if attempt.server is server and not again:
                 return False
             if attempt.state == DID_NOT_RUN:
                 continue
@@ -561,7 +575,7 @@
         if room.limit < 1:
             # Guards against many balancers that each keep just one request at a server and jam it together.
             room.rest_until = now + int((now - attempt.sent) * (1 / room.limit - 1))
-        attempt.state = DID_NOT_RUN if outcome in mi.NEVER_RAN else MAYBE_RAN
+        attempt.state = DID_NOT_RUN if outcome in mi.NEVER_RAN else BROKE if outcome in BREAKS else MAYBE_RAN
         server.count(-1)
         if outcome is mi.Outcome.OK:
             if not request.streaming:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -12,6 +12,7 @@
     NS_PER_S,
     ClientGone,
     CloseIdle,
+    Group,
     Limits,
     Log,
     Outcome,
@@ -115,6 +116,19 @@
     assert bool(again) is (lost > 0)
 
 
+@pytest.mark.parametrize(("name", "tries"), [("move", 2), ("read", 2), ("book", 1)])
+def test_a_keyed_request_asks_its_groups_only_server_once_more(name: str, tries: int) -> None:
+    # Its connection broke, its group held no other server: it failed with half a second left.
+    host = Host(settings(classes=classes(group=Group.ZONE)), servers=2)  # one in each zone
+    request = host.ask(name)
+    host.end(request, Outcome.RESET)
+    if len(host.attempts[request]) > 1:
+        host.end(request, Outcome.RESET)
+    sent = host.attempts[request]
+    assert len(sent) == tries
+    assert (len(set(sent)) == 1) is (name != "read")  # a safe one goes elsewhere, an unsafe one nowhere
+
+
 def test_one_broken_connection_does_not_eject_a_server_that_answers() -> None:
     host = Host()
     host.serve(50)
