Hold a server's rejections against their class, and cut its limit to one at the least

Traced by server and class: six servers turned share-view away (600 times) after a fixed 41 ms whatever their load, and served payout (681 of 690); their limits stood at 0.1 with nothing in flight. Ruled out: their queues (single requests were turned away), drains. At fault: balance.py _bad, which halved the server's limit at each rejection, for all classes, down to 0.1.

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -667,15 +667,7 @@
         if outcome in COUNTS_ON:
             self._count_on(now, server)
         if outcome is mi.Outcome.ERROR or outcome is mi.Outcome.RESET:
-            # Guards a server that fails one class and serves another well: its errors count for theirs alone.
-            # And where answers are spoilt or break off at all servers alike, they say little of a single one.
-            name, faulty = request.cls.spec.name, request.cls.faulty
-            suspicion = server.by_class.setdefault(name, _Suspicion())
-            suspicion.errors += max(LEAST_ERROR, math.log(faulty) / math.log(FEWEST_FAULTY))
-            if not server.ejections(name):
-                request.cls.faulty += (1 - faulty) / 64
-            if suspicion.errors >= ERRORS_OUT:
-                self._eject(now, server, suspicion, TRIALS_BACK, f"errors of {name}")
+            self._hold_against(now, server, request.cls, "errors")
         elif outcome is mi.Outcome.TIMEOUT:
             ejections = server.ejections(request.cls.spec.name)
             if not ejections:
@@ -685,7 +677,12 @@
             for ejection in ejections:
                 self._eject(now, server, ejection, ejection.needed, "silence")
         elif outcome is mi.Outcome.REJECTED:
-            server.room.limit = max(LEAST_LIMIT, server.room.limit * (1 - 0.5 / server.room.servers))
+            # Who is turned away with one request in flight is not turned away for a crowd of ours: cutting
+            # on would only starve the classes that the server takes.
+            room = server.room
+            least = min(room.limit, max(LEAST_LIMIT, min(1.0, room.start / 2)))
+            room.limit = max(least, room.limit * (1 - 0.5 / room.servers))
+            self._hold_against(now, server, request.cls, "turning away")
         elif outcome is mi.Outcome.CONNECT_FAILED:
             # The list may be late or away: what cannot be reached is out at once, and tried now and then.
             # But a single connection may break at a server that goes on answering over others.
@@ -694,6 +691,19 @@
                 server.down = True
                 self._eject(now, server, server.whole, 1, "no connection")
 
+    def _hold_against(self, now: int, server: _Server, cls: _Class, reason: str) -> None:
+        """Guards a server that fails one class and serves another well: what it fails counts for that alone.
+
+        And where answers are spoilt or break off at all servers alike, they say little of a single one.
+        """
+        name = cls.spec.name
+        suspicion = server.by_class.setdefault(name, _Suspicion())
+        suspicion.errors += max(LEAST_ERROR, math.log(cls.faulty) / math.log(FEWEST_FAULTY))
+        if not server.ejections(name):
+            cls.faulty += (1 - cls.faulty) / 64
+        if suspicion.errors >= ERRORS_OUT:
+            self._eject(now, server, suspicion, TRIALS_BACK, f"{reason} of {name}")
+
     def _adapt(self, now: int, server: _Server, cls: _Class, latency: int) -> None:
         """Guards against overload, and servers turning slow in a crowd: keep answers well within the aim."""
         target = TARGET * cls.spec.aim_ns
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -72,6 +72,16 @@
     assert drive(host, 40, set(), Outcome.OK, "move").count("s1") > 5
 
 
+def test_a_server_that_turns_one_class_away_is_not_starved_of_another() -> None:
+    # Six servers turned one class away whatever their load: their limits fell to 0.1 for both classes.
+    host = Host()
+    drive(host, 1000, {"s1"}, Outcome.REJECTED)
+    room = host.balancer.servers["s1"].room
+    assert room.limit >= 1
+    assert drive(host, 40, {"s1"}, Outcome.REJECTED).count("s1") <= 2
+    assert drive(host, 40, set(), Outcome.OK, "move").count("s1") > 5
+
+
 def test_errors_at_all_servers_alike_eject_nobody() -> None:
     # Answers that break off at every server, one in ten: those left after ejections would only be crowded.
     host = Host(servers=6)
