Give up a held request that was never sent by half of its time

At fault: balance.py _on_timer, which held until an answer would have come too late. Not on arrival: there a tick is longer than half of a short patience (first try, refused by a present test).

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -159,7 +159,7 @@
     """A request that this balancer still owes an answer, or that still has attempts out."""
 
     __slots__ = (
-        "attempts", "born", "cls", "done", "event", "part", "streaming", "useful_until", "value",
+        "attempts", "born", "cls", "decide_by", "done", "event", "part", "streaming", "useful_until", "value",
     )  # fmt: skip
 
     def __init__(self, event: mi.Request, cls: _Class, born: int, useful_until: int, value: float) -> None:
@@ -167,6 +167,7 @@
         self.cls = cls
         self.born = born  # when the client first asked, if this is its retry
         self.useful_until = useful_until
+        self.decide_by = event.give_up_ns  # held and never sent until then, it is given up
         self.value = value  # expected worth for the work, to compare with other requests
         self.part = 0  # of its key
         self.attempts: list[_Attempt] = []
@@ -465,6 +466,8 @@
     def _hold(self, now: int, request: _Open) -> None:
         """Its servers are full: wait here, where that costs no server anything; the best worth goes first."""
         self.held[request.event.id] = request
+        if not request.attempts:
+            request.decide_by = now + (request.event.give_up_ns - now) // 2
         self.sequence += 1
         entry = (-request.value, self.sequence, request)
         for room in dict.fromkeys(server.room for server in self._pair(request)):
@@ -757,7 +760,8 @@
         for cls in self.classes.values():
             self._check_overdue(now, cls)
         for request in sorted(self.held.values(), key=lambda r: -r.value):
-            if self._hopeless(now, request):
+            # Guards clients that wait in vain: past half of their time a refusal costs them more.
+            if self._hopeless(now, request) or now + self.tick_ns > request.decide_by:
                 self._answer(now, request)
             else:
                 self._send_to_pick(now, request)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -434,6 +434,19 @@
     assert host.attempts[host.ask("read", full)] == ["s2"]
 
 
+def test_a_held_request_is_given_up_by_half_of_its_time() -> None:
+    # While servers were full, requests waited until an answer would have come too late.
+    host = Host(servers=1)
+    host.serve(50)
+    while host.ask("read", "k", give_up=500 * MS) in host.attempts:
+        pass
+    request = f"r{host.count}"
+    asked = host.now
+    host.wait(500 * MS)
+    (at,) = [t for t, a in host.log if isinstance(a, Reject) and a.id == request]
+    assert at - asked <= 250 * MS
+
+
 def test_the_short_life_of_a_late_sent_attempt_does_not_raise_the_limit() -> None:
     host = Host(servers=1)
     host.serve(400)
