Bound interim answers, end at 101 and leave out load reports that are no finite number

Tests: 17 interim answers, a 101, a report with nan, and a spoilt answer of 3 GB and an endless head by outcome.

--- a/iristrack/net/http.py
+++ b/iristrack/net/http.py
@@ -12,6 +12,7 @@
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024
 MAX_CHUNK_LINE = 256
+MAX_INTERIM = 16  # 1xx answers ahead of one final answer
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _REQUEST_LINE = re.compile(rb"(" + _TOKEN + rb") ([\x21-\x7e]+) HTTP/1\.([01])\Z")
@@ -149,13 +150,14 @@
 class Reader:
     """Takes bytes as they come and gives whole messages; the rest of the bytes stays for the next one."""
 
-    __slots__ = ("_at", "_body", "_buffer", "_head", "_left", "_limit", "_response", "_state")
+    __slots__ = ("_at", "_body", "_buffer", "_head", "_interim", "_left", "_limit", "_response", "_state")
 
     def __init__(self, response: bool = False, limit: int = MAX_BODY) -> None:
         """For requests, or for responses; a body may hold `limit` bytes."""
         self._response = response
         self._limit = limit
         self._buffer = bytearray()
+        self._interim = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -197,7 +199,12 @@
                 return None
             self._reset()
             if not 100 <= head.status < 200:
+                self._interim = 0
                 return Message(head, body)
+            # Guards against answers that never come to their end, and against bytes that are HTTP no more.
+            self._interim += 1
+            if self._interim > MAX_INTERIM or head.status == 101:
+                raise Malformed(502, "too many interim answers, or another protocol")
 
     def end(self) -> Message | None:
         """The connection ended: the message that this completes, if any; raises `Truncated` inside one."""
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -17,6 +17,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from enum import Enum
+from math import isfinite
 from time import process_time
 
 from loguru import logger
@@ -701,10 +702,10 @@
     report = {}
     for pair in text.decode("latin-1").removeprefix("TEXT").split(","):
         name, _, value = pair.strip().partition("=")
-        try:
-            report[REPORT_NAMES.get(name, name)] = float(value)
-        except ValueError:
-            continue
+        with suppress(ValueError):
+            number = float(value)
+            if isfinite(number):
+                report[REPORT_NAMES.get(name, name)] = number
     return report or None
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -107,6 +107,9 @@
         (reset, mi.Outcome.RESET),
         (truncated, mi.Outcome.RESET),
         (lambda message, sock: b"what?\r\n\r\n", mi.Outcome.RESET),
+        (lambda message, sock: b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", mi.Outcome.RESET),
+        (lambda message, sock: b"HTTP/1.1 200 OK\r\nX-Endless: " + b"x" * 20_000, mi.Outcome.RESET),
+        (lambda message, sock: b"HTTP/1.1 103 H\r\n\r\n" * 99 + http.response(200), mi.Outcome.RESET),
         (silent, mi.Outcome.TIMEOUT),
     ],
 )
@@ -204,7 +207,7 @@
 
 
 def test_probes_lists_timers_and_idle_connections_are_carried_out(bench: Bench) -> None:
-    report = b"TEXT inflight=7, util=0.61, odd=x"
+    report = b"TEXT inflight=7, util=0.61, odd=x, queue=nan"
     pool = bench.pool("s1", lambda message, sock: http.response(200, report))
     bench.start()
     done: list[mi.Event] = []
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -164,3 +164,12 @@
     assert (sent.head.method, sent.head.fields[b"x-a"], sent.body) == (b"POST", b"1", b"body")
     got = http.Reader(response=True).feed(http.response(503, b"no", b"Retry-After: 0.5\r\n", close=True))
     assert (got.head.status, got.body, got.head.keeps_alive) == (503, b"no", False)
+
+
+@pytest.mark.parametrize(
+    "ahead", [b"HTTP/1.1 101 Switching Protocols\r\n\r\n", b"HTTP/1.1 103 Hints\r\n\r\n" * 17]
+)
+def test_interim_answers_are_bounded_and_never_end_http(ahead: bytes) -> None:
+    # An answer that is always about to come would keep its attempt, and its server's connection, for good.
+    with pytest.raises(http.Malformed):
+        http.Reader(response=True).feed(ahead + http.response(200, b"x"))
