Open a door for operators: healthcheck, and figures counted where they happen

Each figure is counted at the event that it names; ejected is a question to the module, discovered one to the service table.

Tests: every figure against a ledger of what scripted peers saw; 96 callers that dribble; yes and no in time.

--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -24,6 +24,7 @@
 from iristrack import __version__
 from iristrack.cli import lab, state
 from iristrack.config import Config, ConfigError, load
+from iristrack.net.door import Door
 from iristrack.net.front import HttpFront
 from iristrack.net.scheduler import Scheduler, clock
 from iristrack.net.sidecar import Sidecar
@@ -98,6 +99,7 @@
         learned = keeper.start(config.settings)
     sidecar = Sidecar(scheduler, config, learned)
     front = HttpFront(scheduler, sidecar, config.listen)
+    door = Door(scheduler, config.admin, lambda: front.serving, sidecar.stats) if config.admin else None
 
     def signalled() -> None:
         numbers = woken.recv(64)
@@ -110,10 +112,14 @@
     gc.collect()  # before the first client: what is there now stays, and need not be looked at again
     gc.freeze()
     sidecar.start()
+    address = config.listen
     try:
         front.start()
+        if door is not None:
+            address = config.admin
+            door.start()
     except OSError as fault:
-        print(f"iristrack: cannot listen on {config.listen[0]}:{config.listen[1]}: {fault}", file=sys.stderr)
+        print(f"iristrack: cannot listen on {address[0]}:{address[1]}: {fault}", file=sys.stderr)
         return 1
     logger.info("{} listens on {}:{}", config.name, *config.listen)
     if keeper is not None:
--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -225,6 +225,10 @@
             "servers": {s.id: learned_of(s, now) for s in self.servers.values()},
         }
 
+    def avoided(self) -> int:
+        """How many of the listed servers get no class's requests now, but for trials."""
+        return sum(1 for s in self.ready if all(s.ejections(name) for name in self.classes))
+
     def handle(self, now: int, event: mi.Event) -> list[mi.Action]:
         """Take one event at clock `now`; the actions are to be carried out in order."""
         self.actions = actions = []
--- a/iristrack/config.py
+++ b/iristrack/config.py
@@ -159,6 +159,7 @@
     sockets: int = 1024
     memory_mb: int = 0
     state: str = ""  # the folder for what is learned; empty: nothing is kept
+    admin: Address | None = None  # the operators' door; None: there is none
 
 
 def read_address(text: str) -> Address:
@@ -232,6 +233,7 @@
         ):
             raise ValueError('state is an object with a "folder" and nothing else')
         at_start, now = environment.get("NODE_DISCOVERY"), told.get("discovery")
+        admin = environment.get("NODE_ADMIN_ADDR") or told.get("admin_addr")
         return Config(
             name=str(environment.get("NODE_NAME") or told.get("name") or "sidecar"),
             listen=read_address(str(environment.get("NODE_LISTEN") or told.get("listen") or "")),
@@ -242,6 +244,7 @@
             sockets=int(limits.get("sockets") or 1024),
             memory_mb=int(limits.get("memory_mb") or 0),
             state=state.get("folder", ""),
+            admin=read_address(str(admin)) if admin else None,
         )
     except (ValueError, TypeError, OverflowError) as fault:
         raise ConfigError(f"{path}: {' '.join(str(fault).split())}") from None
--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -115,6 +115,11 @@
             self.sidecar.stop()
             self.scheduler.stop()
 
+    @property
+    def serving(self) -> bool:
+        """Does it listen and mean to go on, with a service table to route by?"""
+        return self._listener is not None and not self.stopping and self.sidecar.ready
+
     @property
     def closing(self) -> bool:
         """Is it past the grace, so that connections end with the answer that they wait for?"""
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -38,6 +38,7 @@
 SWEEP_NS = mi.NS_PER_S
 REPORT_EVERY_NS = 10 * mi.NS_PER_S
 OWN_DESCRIPTORS = 24  # standard streams, listener, poll, discovery and some in hand
+DOOR_DESCRIPTORS = 36  # and what the operators' door may hold, where there is one
 RECEIVE = 64 * 1024
 STATES = {
     "in_service": mi.ServerState.READY,
@@ -120,13 +121,14 @@
 class _Target:
     """A pool server as the sockets know it."""
 
-    __slots__ = ("address", "away_since", "id", "idle")
+    __slots__ = ("address", "away_since", "id", "idle", "listed")
 
     def __init__(self, server: str, address: Address) -> None:
         self.id = server
         self.address = address
         self.away_since: int | None = None  # when the service table first said that it drains or is gone
         self.idle: list[_Link] = []  # the most recently used last
+        self.listed = True  # does the service table hold it, ready or draining?
 
 
 @dataclass(slots=True)
@@ -144,6 +146,20 @@
     worst_pause_ns: int = 0
 
 
+class Figures:
+    """What this process has done since it began, for the operators; each is counted at the event it names."""
+
+    __slots__ = ("aborted", "declined", "forwards", "outstanding", "succeeded")
+
+    def __init__(self, classes: tuple[mi.RequestClass, ...]) -> None:
+        """All at 0, for every class."""
+        self.succeeded = dict.fromkeys((c.name for c in classes), 0)
+        self.declined = dict(self.succeeded)
+        self.aborted = dict(self.succeeded)
+        self.forwards = 0  # routed tasks whose last byte was written
+        self.outstanding = 0  # transactions taken and not ended
+
+
 class Sidecar:
     """Carries out the balancer's decisions."""
 
@@ -159,6 +175,7 @@
         self.most_links = most_connections(config)[1]
         self.ready = False  # can it serve: is there a service table?
         self.counts = Counts()
+        self.figures = Figures(config.settings.classes)
         self.watching: Task | None = None
         self._revision: int | None = None
         self._list_wanted = False
@@ -273,6 +290,7 @@
             return False
         self.transactions[transaction.id] = transaction
         self.counts.taken += 1
+        self.figures.outstanding += 1
         self.feed(
             mi.Request(
                 transaction.id,
@@ -301,8 +319,10 @@
 
     def _end(self, transaction: Transaction, answer: Answer | None) -> None:
         transaction.answered = True
+        self.figures.outstanding -= 1
         if answer is not None:
             self.counts.failed += 1
+            self.figures.aborted[transaction.request_class] += 1
             transaction.deliver(answer)
         self.feed(mi.ClientGone(transaction.id))
         self._settle(transaction)
@@ -312,12 +332,17 @@
         if transaction is None or transaction.answered:
             return
         transaction.answered = True
+        figures, name = self.figures, transaction.request_class
+        figures.outstanding -= 1
         if answer.ending is Ending.SERVED:
             self.counts.served += 1
+            figures.succeeded[name] += 1
         elif answer.ending is Ending.SHORT:
             self.counts.short += 1
+            figures.declined[name] += 1
         else:
             self.counts.failed += 1
+            figures.aborted[name] += 1
         transaction.deliver(answer)
         self._settle(transaction)
 
@@ -325,6 +350,21 @@
         if transaction.answered and transaction.task is None:
             self.transactions.pop(transaction.id, None)
 
+    def stats(self) -> dict[str, int]:
+        """The operators' figures by name, as of now."""
+        figures = self.figures
+        told = {
+            f"{kind}.{name}": count
+            for kind in ("succeeded", "declined", "aborted")
+            for name, count in getattr(figures, kind).items()
+        }
+        return told | {
+            "forwards": figures.forwards,
+            "outstanding": figures.outstanding,
+            "discovered": sum(1 for target in self.targets.values() if target.listed),
+            "ejected": self.balancer.avoided(),
+        }
+
     # ---- routed tasks
 
     def _send(self, action: mi.Send) -> None:
@@ -368,7 +408,7 @@
         self._settle(transaction)
 
     def _call(
-        self, server: str, began: int, deadline: int, encode: Callable[[int], bytes]
+        self, server: str, began: int, deadline: int, encode: Callable[[int], bytes], forward: int = 1
     ) -> tuple[mi.Outcome, http.Message | None]:
         """One request to a pool server: how it ended, and the answer if there was one.
 
@@ -383,6 +423,7 @@
                 return mi.Outcome.NOT_SENT, None
             self._write(link, encode(deadline - clock()), deadline)
             written = True
+            self.figures.forwards += forward
             message = self._read(link, deadline)
             keep = message.head.keeps_alive and link.reader.empty
             return _classify(message), message
@@ -532,7 +573,7 @@
         began = clock()
         path = b"/_load" if self.settings.report_fields else b"/ping"
         asked = http.request(b"GET", path, b"Host: pool\r\n")
-        outcome, message = self._call(server, began, began + self.probe_timeout_ns, lambda left_ns: asked)
+        outcome, message = self._call(server, began, began + self.probe_timeout_ns, lambda left_ns: asked, 0)
         report = None
         if message is not None:
             report = _load_report(message.body or message.head.fields.get(b"x-load-report"))
@@ -631,6 +672,7 @@
             named = {entry.server for entry, _ in entries}
             for target in [t for t in self.targets.values() if t.id not in named]:
                 self._set_away(target, now)
+                target.listed = False
         for entry, address in entries:
             target = self.targets.get(entry.server)
             if target is None:
@@ -641,6 +683,7 @@
                 fresh = self.targets[entry.server] = _Target(entry.server, address)
                 fresh.away_since = target.away_since
                 target = fresh
+            target.listed = entry.state is not mi.ServerState.GONE
             if entry.state is mi.ServerState.READY:
                 target.away_since = None
             else:
@@ -668,7 +711,7 @@
 
     Each open request needs one of both; clients that have none yet, or no longer, make up the difference.
     """
-    most = config.sockets - OWN_DESCRIPTORS
+    most = config.sockets - OWN_DESCRIPTORS - (DOOR_DESCRIPTORS if config.admin else 0)
     if config.memory_mb:  # half of the memory, were every connection full to its bounds
         most = min(most, (config.memory_mb << 20) // 2 // (http.MAX_HEAD + http.MAX_BODY))
     links = max(8, most * 2 // 5)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -157,12 +157,16 @@
 }  # fmt: skip
 
 
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return free.getsockname()[1]
+
+
 class Program:
     """The real program, started as the deploy file does, on a free port."""
 
-    def __init__(self, folder: Path, discovery: Discovery, **changes: object) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = free.getsockname()[1]
+    def __init__(self, folder: Path, discovery: Discovery, ready: bool = True, **changes: object) -> None:
+        self.port = free_port()
         config = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": discovery.address,
             "seed": "8c1f30d27a5be964", "known": discovery.table(), "settings": SETTINGS,
@@ -177,15 +181,25 @@
                 [sys.executable, "-m", "iristrack", "serve", "--log-level", "DEBUG"],
                 cwd=ROOT, env=os.environ | told, stdout=log, stderr=log,
             )  # fmt: skip
-        until(self._healthy)
+        until(lambda: self._says({200} if ready else {200, 503}))
 
-    def _healthy(self) -> bool:
+    def _says(self, statuses: set[int]) -> bool:
         assert self.process.poll() is None, self.log.read_text()
         try:
-            return Terminal(self.port).exchange(b"GET /_health HTTP/1.1\r\n\r\n").head.status == 200
+            return Terminal(self.port).exchange(b"GET /_health HTTP/1.1\r\n\r\n").head.status in statuses
         except OSError:
             return False
 
+    def operators(self, path: str, method: str = "GET") -> http.Message:
+        """One call at the door; the program was started with `admin_addr`."""
+        port = int(self.config["admin_addr"].rpartition(":")[2])
+        return Terminal(port).exchange(f"{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n".encode())
+
+    def figures(self) -> dict[str, int]:
+        lines = self.operators("/stats").body.decode().splitlines()
+        pairs = (line.removeprefix("node.").split("=") for line in lines)
+        return {name: int(value) for name, value in pairs}
+
     def ask(self, call_id: str, name: str = "view", **more: object) -> http.Message:
         return Terminal(self.port).exchange(call(call_id, name, **more))
 
@@ -224,3 +238,20 @@
 
     def ended(self) -> bool:
         return self.sock.recv(1) == b""
+
+
+class Stage:
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.discovery = Discovery()
+        self.pools: dict[str, Listener] = {}
+        self.programs: list[Program] = []
+
+    def pool(self, name: str, handler=serve, **more: object) -> Listener:
+        self.pools[name] = pool = Listener(handler)
+        self.discovery.put(name, pool.address, **more)
+        return pool
+
+    def start(self, **changes: object) -> Program:
+        self.programs.append(Program(self.folder, self.discovery, **changes))
+        return self.programs[-1]
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,129 @@
+"""The operators' door: it answers beside whoever holds its places, and its figures are what the peers saw."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import time
+
+import pytest
+from stage import Stage, Terminal, call, error, free_port, reject, reset, serve, silent, until
+
+from iristrack.net.door import MOST_CALLERS
+
+
+@pytest.fixture
+def door(stage: Stage):
+    return {"admin_addr": f"127.0.0.1:{free_port()}"}
+
+
+def test_it_says_yes_while_the_process_serves_and_no_before_and_after(stage: Stage, door: dict) -> None:
+    stage.pool("s1")
+    stage.discovery.quiet = True
+    empty = {"revision": 0, "complete": True, "members": []}
+    program = stage.start(ready=False, known=empty, **door)
+    assert program.operators("/healthcheck").head.status == 503  # no service table: nowhere to send
+    stage.discovery.quiet = False
+    until(lambda: program.operators("/healthcheck").head.status == 200)
+    program.process.send_signal(signal.SIGTERM)
+    until(lambda: program.operators("/healthcheck").head.status == 503)  # still serving its grace
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /nothing HTTP/1.1\r\n\r\n", 404),
+        (b"POST /stats HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+        (b"GET /stats HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"\x00\xff what\r\n\r\n", 400),
+        (b"GET /stats?x=1 HTTP/1.0\r\n\r\n", 200),
+    ],
+)
+def test_every_call_is_told_yes_or_no_and_its_connection_ends(
+    stage: Stage, door: dict, data: bytes, status: int
+) -> None:
+    stage.pool("s1")
+    stage.start(**door)
+    caller = Terminal(int(door["admin_addr"].rpartition(":")[2]))
+    assert caller.exchange(data).head.status == status
+    assert caller.ended()
+
+
+def test_callers_that_say_nothing_or_dribble_keep_no_whole_call_waiting(stage: Stage, door: dict) -> None:
+    stage.pool("s1")
+    program = stage.start(**door)
+    address = ("127.0.0.1", int(door["admin_addr"].rpartition(":")[2]))
+    held = [socket.create_connection(address) for _ in range(3 * MOST_CALLERS)]
+    for sock in held:
+        sock.sendall(b"GET /sta")
+    began = time.monotonic()
+    assert program.operators("/stats").head.status == 200
+    assert time.monotonic() - began < 30  # not after all those have run out of time, one group after another
+    assert program.ask("r1").head.status == 200
+    for sock in held:  # each is ended too, with or without a word
+        sock.settimeout(60)
+        try:
+            while sock.recv(4096):
+                pass
+        except ConnectionResetError:
+            pass
+
+
+def test_the_figures_are_what_the_peers_saw(stage: Stage, door: dict) -> None:
+    good, bad = stage.pool("s1"), stage.pool("s2", error, locality="b")
+    refuses, breaks = stage.pool("s3", reject), stage.pool("s4", reset, locality="c")
+    program = stage.start(**door)
+    zeros = {f"{kind}.{name}": 0 for kind in ("succeeded", "declined", "aborted") for name in ("view", "pay")}
+    first = zeros | {"forwards": 0, "outstanding": 0, "discovered": 4, "ejected": 0}
+    assert program.figures() == first  # every class is named from the start
+    ledger = dict(zeros)
+    for i in range(60):
+        name = ("view", "pay")[i % 2]
+        status = program.ask(f"r{i}", name, key=f"k{i}").head.status
+        kind = {200: "succeeded", 429: "declined", 503: "declined"}.get(status, "aborted")
+        ledger[f"{kind}.{name}"] += 1
+    pools = (good, bad, refuses, breaks)
+    told = program.figures()
+    assert {name: told[name] for name in ledger} == ledger
+    assert told["succeeded.view"] and told["aborted.pay"]
+    assert told["forwards"] == sum(len(pool.heads) for pool in pools) > 60  # retries are among them
+    assert told["ejected"] >= 1  # who fails both classes gets nothing but trials
+    # A draining server is in the list still, one that is gone is not.
+    stage.discovery.put("s2", bad.address, "terminating")
+    stage.discovery.put("s3", refuses.address, "terminated")
+    until(lambda: program.figures()["discovered"] == 3)
+
+
+def test_what_is_outstanding_falls_whatever_ends_it(stage: Stage, door: dict) -> None:
+    held = stage.pool("s1", silent)
+    program = stage.start(**door)
+    leaves, waits = Terminal(program.port), Terminal(program.port)
+    leaves.sock.sendall(call("r1"))
+    waits.sock.sendall(call("r2", "pay", budget="3000m"))
+    until(lambda: len(held.heads) >= 2)
+    assert program.figures()["outstanding"] == 2
+    leaves.sock.close()
+    until(lambda: program.figures()["outstanding"] == 1)
+    assert waits.read().head.status in (502, 504)
+    told = program.figures()
+    assert (told["outstanding"], told["aborted.pay"], told["succeeded.view"]) == (0, 1, 0)
+    held.handler = serve
+    assert program.ask("r3").head.status == 200
+
+
+def test_the_variable_stands_above_the_file_and_without_either_there_is_no_door(tmp_path) -> None:
+    from stage import ROOT
+
+    from iristrack.config import ConfigError, load
+
+    told = json.loads((ROOT / "examples" / "config.json").read_text())
+    told.pop("admin_addr", None)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    assert load({"NODE_CONFIG": str(path)}).admin is None
+    path.write_text(json.dumps(told | {"admin_addr": "127.0.0.1:9"}))
+    assert load({"NODE_CONFIG": str(path)}).admin == ("127.0.0.1", 9)
+    assert load({"NODE_CONFIG": str(path), "NODE_ADMIN_ADDR": "[::1]:8"}).admin == ("::1", 8)
+    with pytest.raises(ConfigError):
+        load({"NODE_CONFIG": str(path), "NODE_ADMIN_ADDR": "nowhere"})
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -10,7 +10,6 @@
 import threading
 import time
 from collections.abc import Iterator
-from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -19,6 +18,7 @@
     Discovery,
     Listener,
     Program,
+    Stage,
     Terminal,
     call,
     error,
@@ -34,37 +34,6 @@
 from iristrack.net.front import REQUEST_NS
 
 
-class Stage:
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
-        self.discovery = Discovery()
-        self.pools: dict[str, Listener] = {}
-        self.programs: list[Program] = []
-
-    def pool(self, name: str, handler=serve, **more: object) -> Listener:
-        self.pools[name] = pool = Listener(handler)
-        self.discovery.put(name, pool.address, **more)
-        return pool
-
-    def start(self, **changes: object) -> Program:
-        self.programs.append(Program(self.folder, self.discovery, **changes))
-        return self.programs[-1]
-
-
-@pytest.fixture
-def stage(tmp_path: Path) -> Iterator[Stage]:
-    stage = Stage(tmp_path)
-    yield stage
-    for program in stage.programs:
-        program.process.kill()
-        program.process.wait()
-        log = program.log.read_text()
-        assert "Traceback" not in log, log
-    for listener in (stage.discovery, *stage.pools.values()):
-        with suppress(OSError):
-            listener.close()
-
-
 def test_a_request_is_served_as_the_bytes_that_came(stage: Stage) -> None:
     pool = stage.pool("s1")
     program = stage.start()
