Hand the listening socket and kept connections to a new process

net/handover.py: the new process asks the old one, through a Unix socket in TMPDIR, for its listening socket; both accept from one queue. From SIGTERM on the old one passes each client connection on as soon as nothing is under way on it, keeps no idle connections to pool servers, and leaves with its last answer. Both size themselves for what the other holds. SO_REUSEPORT is the way where no predecessor answers. Ruled out before: the module, and the grace (no SIGTERM came).

Tests: kept connections, the accept queue while both are stopped, a successor that dies, what else may lie in the folder, garbage.

--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -98,7 +98,7 @@
         keeper = Keeper(config.state, config.name, logger.warning, logger.info)
         learned = keeper.start(config.settings)
     sidecar = Sidecar(scheduler, config, learned)
-    front = HttpFront(scheduler, sidecar, config.listen)
+    front = HttpFront(scheduler, sidecar, config.listen, os.environ.get("TMPDIR", ""))
     door = Door(scheduler, config.admin, lambda: front.serving, sidecar.stats) if config.admin else None
 
     def signalled() -> None:
--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -11,12 +11,13 @@
 import re
 import socket
 from contextlib import suppress
+from dataclasses import replace
 
 from loguru import logger
 
 from iristrack import interface as mi
 from iristrack.config import Address
-from iristrack.net import http
+from iristrack.net import handover, http
 from iristrack.net.scheduler import HANG_UP, READ, WRITE, Cancelled, Scheduler, Task, clock
 from iristrack.net.sidecar import Answer, Ending, Sidecar, Transaction, most_connections
 
@@ -49,10 +50,12 @@
 class _Terminal:
     """One client connection."""
 
-    __slots__ = ("answer", "fd", "opened", "reader", "sock", "task")
+    __slots__ = ("answer", "fd", "fresh", "opened", "passed", "reader", "sock", "task")
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, fresh: bool) -> None:
         self.opened = clock()
+        self.fresh = fresh  # nothing was asked on it yet
+        self.passed = False  # the successor has it
         self.sock = sock
         self.fd = sock.fileno()
         self.reader = http.Reader()
@@ -63,55 +66,111 @@
 class HttpFront:
     """Listens for the application next to this sidecar."""
 
-    def __init__(self, scheduler: Scheduler, sidecar: Sidecar, listen: Address) -> None:
-        """Nothing is opened before `start`."""
+    def __init__(self, scheduler: Scheduler, sidecar: Sidecar, listen: Address, folder: str = "") -> None:
+        """Nothing is opened before `start`. In `folder` an old and a new process meet."""
         self.scheduler = scheduler
         self.sidecar = sidecar
         self.listen = listen
+        self.handover = handover.Handover(scheduler, folder, listen)
         self.terminals: set[_Terminal] = set()
         # Those without a request, since when, longest first: the ones that never asked, and the ones between
         # requests.
         self.silent: dict[_Terminal, int] = {}
         self.idle: dict[_Terminal, int] = {}
-        self.most = most_connections(sidecar.config)[0]
-        self.many = min(int(sidecar.config.sockets * MANY), self.most // 2)
         self.stopping = False
         self._listener: socket.socket | None = None
-        self._accepting = False
+        self._begun = self._accepting = False
+        self.most = self.many = 0
+        self._resize(0)
         self._repeats = {c.name: c.repeat for c in sidecar.settings.classes}
 
     # ---- life
 
     def start(self) -> None:
         """Listen; raises `OSError` where the address cannot be had."""
-        family = socket.AF_INET6 if ":" in self.listen[0] else socket.AF_INET
-        self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(self.listen)
-        self._listener.listen(self.sidecar.config.sockets)
-        self._resume_accepting()
+        inherited = self.handover.inherit()
+        if inherited is not None:
+            self._listener = inherited[0]
+            self._resize(max(inherited[1], self.sidecar.config.sockets // 2))
+            logger.info("the predecessor's listening socket is shared")
+        else:
+            family = socket.AF_INET6 if ":" in self.listen[0] else socket.AF_INET
+            self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            # Where a predecessor cannot be spoken with, a new version can still begin beside it.
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            self._listener.bind(self.listen)
+            self._listener.listen(self.sidecar.config.sockets)
+        self.handover.follow(self._adopt, self._resize, self._alone)
+        self._begin(inherited is not None)
         self._sweep()
 
+    def _begin(self, beside: bool) -> None:
+        """Take connections; beside a predecessor, which goes on taking them, only once they can be served."""
+        if beside and not self.sidecar.ready:
+            self.scheduler.call_at(clock() + PAUSE_NS, self._begin, beside)
+        else:
+            self._begun = True
+            self._resume_accepting()
+
+    def _alone(self) -> None:
+        """There is no predecessor, or no longer: the limits are all this process's, and the next may come."""
+        self._resize(0)
+        if not self.stopping:
+            self.handover.offer(lambda: self._listener, self._held, self._on_successor)
+
+    def _held(self) -> int:
+        """About how many descriptors this process has open."""
+        return len(self.terminals) + self.sidecar.links + handover.OWN
+
+    def _resize(self, elsewhere: int) -> None:
+        """Size connections for the configured limits, less the descriptors that the other process holds."""
+        config = self.sidecar.config
+        left = max(config.sockets - elsewhere, config.sockets // 4)
+        self.most, self.sidecar.most_links = most_connections(replace(config, sockets=left))
+        self.many = min(int(config.sockets * MANY), self.most // 2)
+        self._resume_accepting()
+
+    def _on_successor(self) -> None:
+        """A successor has come, or gone, or has taken what was on its way to it."""
+        self._resize(self.sidecar.config.sockets // 2 if self.handover.has_successor else 0)
+        if self.closing:  # it went before it had taken all: those that wait for it end here
+            self._wake_idle()
+        self._end_if_done()
+
     def stop(self) -> None:
-        """Go on as before for the grace, then take nothing new; the loop ends with the last answer."""
+        """Go on as before for the grace, then take nothing new; the loop ends with the last answer.
+
+        Where a successor listens at the same socket, there is no grace: what comes is the successor's at once.
+        """
         if not self.stopping:
             self.stopping = True
             logger.info("stopping: {} transactions are in flight", len(self.sidecar.transactions))
-            self.scheduler.call_at(clock() + STOP_GRACE_NS, self._close_listener)
+            if self.handover.has_successor:
+                self._close_listener()
+            else:
+                self.scheduler.call_at(clock() + STOP_GRACE_NS, self._close_listener)
 
     def _close_listener(self) -> None:
-        while self._accepting and self._accept():  # what the kernel has accepted already is taken
-            pass
+        if self.handover.has_successor:
+            self.sidecar.close_idle()
+        else:
+            while self._accepting and self._accept():  # what the kernel has accepted already is taken
+                pass
         self._pause_accepting()
         self._listener.close()
         self._listener = None
+        self._wake_idle()
+        self._end_if_done()
+
+    def _wake_idle(self) -> None:
+        """Have the terminals between requests look: they end, or go to the successor."""
         for terminal in list(self.terminals):
             if terminal.reader.empty and terminal.task is not None:
-                terminal.task.wake()  # those between requests: they look, and end
-        self._end_if_done()
+                terminal.task.wake()
 
     def _end_if_done(self) -> None:
-        if self.stopping and self._listener is None and not self.terminals:
+        if self.stopping and self._listener is None and not self.terminals and self.handover.idle:
             self.sidecar.stop()
             self.scheduler.stop()
 
@@ -123,7 +182,12 @@
     @property
     def closing(self) -> bool:
         """Is it past the grace, so that connections end with the answer that they wait for?"""
-        return self.stopping and self._listener is None
+        return self.stopping and self._listener is None and not self.handover.has_successor
+
+    @property
+    def passing(self) -> bool:
+        """Do connections go to the successor, each as soon as nothing is under way on it?"""
+        return self.stopping and self.handover.has_successor
 
     @property
     def crowded(self) -> bool:
@@ -133,7 +197,12 @@
     # ---- connections
 
     def _resume_accepting(self) -> None:
-        if self._listener is not None and not self._accepting and len(self.terminals) < self.most:
+        if (
+            self._begun
+            and self._listener is not None
+            and not self._accepting
+            and len(self.terminals) < self.most
+        ):
             self._accepting = True
             self.scheduler.watch(self._listener.fileno(), self._accept)
 
@@ -161,13 +230,17 @@
                 self._pause_accepting()
                 self.scheduler.call_at(clock() + PAUSE_NS, self._resume_accepting)
                 return False
-            sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            terminal = _Terminal(sock)
-            self.terminals.add(terminal)
-            terminal.task = self.scheduler.spawn("terminal", self._serve, terminal)
+            self._adopt(sock, True)
         return True
 
+    def _adopt(self, sock: socket.socket, fresh: bool) -> None:
+        """Serve a client's connection, on which something was asked before or not."""
+        sock.setblocking(False)
+        terminal = _Terminal(sock, fresh)
+        self.terminals.add(terminal)
+        terminal.task = self.scheduler.spawn("terminal", self._serve, terminal)
+
     def _make_room(self) -> None:
         """All places are taken: those that ask nothing give theirs to those that wait outside.
 
@@ -197,7 +270,7 @@
 
     def _serve(self, terminal: _Terminal) -> None:
         """One connection's life: request after request, one answer each."""
-        first = True
+        first = terminal.fresh
         try:
             while True:
                 message = self._read(terminal, first)
@@ -213,7 +286,8 @@
             logger.exception("a terminal's request failed")
             self._refuse_bytes(terminal, 500, "internal error")
         finally:
-            terminal.sock.close()
+            if not terminal.passed:
+                terminal.sock.close()
             self.terminals.discard(terminal)
             self.silent.pop(terminal, None)
             self.idle.pop(terminal, None)
@@ -244,6 +318,10 @@
         # Guards against clients that say nothing, or begin a request and never end it: they hold a place.
         deadline = terminal.opened + REQUEST_NS if first else clock() + (REQUEST_NS if begun else IDLE_NS)
         while message is None:
+            if self.passing and reader.empty:
+                terminal.passed = True
+                self.handover.pass_on(terminal.sock, first)
+                return None
             if self.closing and reader.empty:
                 # A request that crosses the end of the grace on its way is still taken.
                 deadline = min(deadline, clock() + LINGER_NS)
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -231,11 +231,15 @@
 
     def stop(self) -> None:
         """End what runs beside the transactions."""
-        self._stopping = True
         self._subscribe(False)
+        self.close_idle()
+        self.report()
+
+    def close_idle(self) -> None:
+        """Keep no connections to pool servers from now on: their descriptors are another process's."""
+        self._stopping = True
         for target in self.targets.values():
             self._close_all(target)
-        self.report()
 
     def _on_gc(self, phase: str, info: dict) -> None:
         if phase == "start":
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -10,6 +10,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 from iristrack.net import http
@@ -165,17 +166,22 @@
 class Program:
     """The real program, started as the deploy file does, on a free port."""
 
-    def __init__(self, folder: Path, discovery: Discovery, ready: bool = True, **changes: object) -> None:
-        self.port = free_port()
+    def __init__(
+        self, folder: Path, discovery: Discovery, ready: bool = True, beside: Program | None = None,
+        tmpdir: Path | None = None, **changes: object,
+    ) -> None:  # fmt: skip
+        """`beside` is the old version that this one takes over from."""
+        self.port = beside.port if beside else free_port()
         config = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": discovery.address,
             "seed": "8c1f30d27a5be964", "known": discovery.table(), "settings": SETTINGS,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         }  # fmt: skip
-        self.config, self.path = config | changes, folder / "config.json"
+        self.config, self.path = config | changes, folder / f"config{bool(beside)}.json"
         self.path.write_text(json.dumps(self.config))
-        self.log = folder / "log.txt"
+        self.log = folder / f"log{bool(beside)}.txt"
         told = {"NODE_CONFIG": str(self.path), "NODE_DISCOVERY": discovery.address}
+        told["TMPDIR"] = str(tmpdir) if tmpdir else ""
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "iristrack", "serve", "--log-level", "DEBUG"],
@@ -195,6 +201,11 @@
         port = int(self.config["admin_addr"].rpartition(":")[2])
         return Terminal(port).exchange(f"{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n".encode())
 
+    def says_yes(self) -> bool:
+        with suppress(OSError):
+            return self.operators("/healthcheck").head.status == 200
+        return False
+
     def figures(self) -> dict[str, int]:
         lines = self.operators("/stats").body.decode().splitlines()
         pairs = (line.removeprefix("node.").split("=") for line in lines)
