Pass long messages on in pieces, and wait for slow ones

What is longer than 64 KiB passes in pieces through the routed task, with back-pressure both ways and one memory budget for all; an answer that has begun has no deadline but for silence, and one that breaks off shows it. The module hears when a long request is written, when its answer begins, and whether it can be sent again. Bodies must keep 48 kB/s on average. Found on the way by its test: the terminal's task kept the client's patience as its deadline after an answer had begun.

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -26,6 +26,7 @@
     recall,
 )
 from iristrack.records import Attempt as _Attempt
+from iristrack.records import ClassRecord as _Class
 from iristrack.records import OpenRequest as _Open
 from iristrack.records import Suspicion as _Suspicion
 
@@ -138,21 +139,6 @@
         return [s for s in (self.whole, self.by_class.get(name)) if s is not None and s.ejected]
 
 
-class _Class:
-    __slots__ = ("base", "dev", "faulty", "least", "low", "mean", "outstanding", "seen", "spec", "total")
-
-    def __init__(self, spec: mi.RequestClass) -> None:
-        self.spec = spec
-        self.mean = spec.aim_ns * TARGET  # mean latency of good answers, and its mean deviation
-        self.dev = spec.aim_ns * TARGET / 4
-        self.base = float(spec.aim_ns)  # mean latency when uncrowded: the lowest window's, slowly forgotten
-        self.low = spec.aim_ns  # the fastest answer: what no crowd changes, such as waits on others
-        self.least = spec.aim_ns  # and that of this window
-        self.faulty = FEWEST_FAULTY  # the share of attempts that end as errors at servers in use
-        self.seen = self.total = 0
-        self.outstanding: deque = deque()  # (request, attempt), oldest first
-
-
 class Balancer:
     """One sidecar's balancer: feed it the clock and an event, carry out the actions it returns."""
 
@@ -160,7 +146,7 @@
         """`seed` is the only source of randomness; `learned` a snapshot that `recovery.trust` has weighed."""
         self.settings = settings
         self.random = random.Random(seed)
-        self.classes = {c.name: _Class(c) for c in settings.classes}
+        self.classes = {c.name: _Class(c, TARGET, FEWEST_FAULTY) for c in settings.classes}
         aims = [c.aim_ns for c in settings.classes] or [mi.NS_PER_S]
         self.longest_aim = max(aims)
         self.tick_ns = max(settings.resolution_ns, min(aims) // TICKS_PER_AIM)
@@ -199,6 +185,7 @@
         self.handlers = {
             mi.Request: self._on_request,
             mi.AttemptEnded: self._on_ended,
+            mi.AttemptWritten: self._on_written,
             mi.AttemptStarted: self._on_started,
             mi.ClientGone: self._on_gone,
             mi.ServerList: self._on_list,
@@ -419,7 +406,7 @@
         cls = self.classes.get(event.request_class)
         if cls is None:  # unknown: as strict as can be
             left = max(1, event.give_up_ns - now)
-            cls = _Class(mi.RequestClass(event.request_class, left, left))
+            cls = _Class(mi.RequestClass(event.request_class, left, left), TARGET, FEWEST_FAULTY)
             if len(self.classes) < MOST_CLASSES:  # names that come from outside must not fill the memory
                 self.classes[event.request_class] = cls
         spec = cls.spec
@@ -497,7 +484,8 @@
         server.count(1)
         attempt = _Attempt(server, now)
         request.attempts.append(attempt)
-        request.cls.outstanding.append((request, attempt))
+        if not request.event.long:  # that one is judged from its last byte on
+            request.cls.outstanding.append((request, attempt))
         self.actions.append(mi.Send(request.event.id, server.id, self._patience(now, request)))
 
     def _patience(self, now: int, request: _Open) -> int:
@@ -556,11 +544,20 @@
                 return request, attempt
         return request, None
 
+    def _on_written(self, now: int, event: mi.AttemptWritten) -> None:
+        request, attempt = self._find(event)
+        if attempt is not None:
+            attempt.sent, request.useful_until = now, event.give_up_ns
+            request.cls.outstanding.append((request, attempt))
+
     def _on_started(self, now: int, event: mi.AttemptStarted) -> None:
         request, attempt = self._find(event)
         if attempt is not None and not request.streaming:
             request.streaming = True
             self._good(now, request, attempt)
+            if not request.cls.spec.stream:  # the work is done; passing on what came of it takes no room
+                attempt.server.count(-1)
+                self._serve_waiting(now, attempt.server.room)
 
     def _on_ended(self, now: int, event: mi.AttemptEnded) -> None:
         request, attempt = self._find(event)
@@ -571,7 +568,8 @@
             # Guards against many balancers that each keep just one request at a server and jam it together.
             room.rest_until = now + int((now - attempt.sent) * (1 / room.limit - 1))
         attempt.state = DID_NOT_RUN if outcome in mi.NEVER_RAN else BROKE if outcome in BREAKS else MAYBE_RAN
-        server.count(-1)
+        if not request.streaming or request.cls.spec.stream:
+            server.count(-1)
         if outcome is mi.Outcome.OK:
             if not request.streaming:
                 self._good(now, request, attempt)
@@ -583,7 +581,7 @@
                 self._finish(request)
         if request.done:
             self.requests.pop(event.id, None)
-        elif not self._send_more(now, request, free=outcome in mi.NEVER_RAN):
+        elif not event.kept or not self._send_more(now, request, free=outcome in mi.NEVER_RAN):
             self._answer(now, request)
         if self.closes_idle and not server.inflight and self._gap(now) > IDLE_KEPT_NS:
             self.actions.append(mi.CloseIdle(server.id))
--- a/iristrack/interface.py
+++ b/iristrack/interface.py
@@ -202,11 +202,21 @@
     work_hint_ns: int = 0
     retry: bool = False
     write: bool = False
+    long: bool = False  # its body is passed on while it comes; `AttemptWritten` follows
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptWritten:
+    """Event: the last byte of a long request is out now; its work and the client's patience begin here."""
+
+    id: str
+    attempt: int
+    give_up_ns: int
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptStarted:
-    """Event: the answer of a streamed request has begun; the attempt is the client's from now on."""
+    """Event: an answer that is passed on while it comes has begun; the attempt is the client's from now on."""
 
     id: str
     attempt: int
@@ -225,6 +235,7 @@
     final: bool = False
     latency_ns: int = 0
     report: dict[str, float] | None = None
+    kept: bool = True  # can the host send the request again?
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,7 +271,15 @@
 
 
 Event = (
-    ServerList | Request | AttemptStarted | AttemptEnded | ClientGone | TimerFired | ProbeEnded | PeerMessage
+    ServerList
+    | Request
+    | AttemptWritten
+    | AttemptStarted
+    | AttemptEnded
+    | ClientGone
+    | TimerFired
+    | ProbeEnded
+    | PeerMessage
 )
 
 
--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -10,6 +10,7 @@
 import itertools
 import re
 import socket
+import struct
 from contextlib import suppress
 from dataclasses import replace
 
@@ -19,18 +20,31 @@
 from iristrack.config import Address
 from iristrack.net import handover, http
 from iristrack.net.scheduler import HANG_UP, READ, WRITE, Cancelled, Scheduler, Task, clock
-from iristrack.net.sidecar import Answer, Ending, Sidecar, Transaction, most_connections
+from iristrack.net.sidecar import (
+    STALL_NS,
+    Answer,
+    Ending,
+    Sidecar,
+    TerminalLeft,
+    Transaction,
+    most_connections,
+)
 
 IDLE_NS = 120 * mi.NS_PER_S  # a client's connection between requests is closed after so long,
 CROWDED_IDLE_NS = 2 * mi.NS_PER_S  # after so long where clients' connections are many,
 SILENT_NS = 100 * mi.NS_PER_MS  # and one that never said anything after so long once all places are taken
 MANY = 2 / 9  # of the descriptors; clients hold no more than a third of them for their requests
 REQUEST_NS = 2500 * mi.NS_PER_MS  # a request must be whole so long after it began, the first after connecting
-WRITE_NS = 5 * mi.NS_PER_S  # and its answer taken
+BODY_SLACK_NS = 800 * mi.NS_PER_MS  # or, where its body takes longer, so long after its head and
+SLOWEST_BODY = 48_000  # at so many bytes a second, on average,
+PAUSE_MOST_NS = 2 * mi.NS_PER_S  # and never pausing for so long
 SWEEP_NS = 500 * mi.NS_PER_MS
 STOP_GRACE_NS = 500 * mi.NS_PER_MS  # the platform lets connections come for up to 400 ms after SIGTERM
 LINGER_NS = 50 * mi.NS_PER_MS  # what an idle connection is left after the grace
-PAUSE_NS = 50 * mi.NS_PER_MS  # between failed accepts
+PAUSE_NS = (
+    50 * mi.NS_PER_MS
+)  # between failed accepts, and for the answer to bytes that are no request to arrive
+UNREAD_NS = 3 * mi.NS_PER_S  # and that to a long request which was given up before its end
 ACCEPTS = 32  # most connections taken in one turn
 RECEIVE = 64 * 1024
 LONGEST_TARGET = 2048  # keys are remembered, so that their length bounds memory
@@ -50,7 +64,10 @@
 class _Terminal:
     """One client connection."""
 
-    __slots__ = ("answer", "fd", "fresh", "opened", "passed", "reader", "sock", "task")
+    __slots__ = (
+        "answer", "begun", "fd", "fresh", "head_at", "heard", "held_up", "opened", "owned", "passed", "reader",
+        "sock", "task",
+    )  # fmt: skip
 
     def __init__(self, sock: socket.socket, fresh: bool) -> None:
         self.opened = clock()
@@ -58,10 +75,112 @@
         self.passed = False  # the successor has it
         self.sock = sock
         self.fd = sock.fileno()
-        self.reader = http.Reader()
+        self.reader = http.Reader(limit=http.LONGEST_BODY)
+        # When the request under way began, when its head was whole, when the client last gave anything, and for how
+        # long it could not because the pool server took nothing.
+        self.begun = self.head_at = self.heard = self.held_up = 0
+        self.owned = False  # a routed task waits on the socket
         self.task: Task | None = None
         self.answer: Answer | None = None
 
+    def body_by(self) -> int:
+        """Until when the next bytes of a body must come."""
+        pace = self.reader.received * mi.NS_PER_S // SLOWEST_BODY
+        by = min(self.head_at + BODY_SLACK_NS + self.held_up + pace, self.heard + PAUSE_MOST_NS)
+        return max(self.begun + REQUEST_NS, by)
+
+
+class _Passage:
+    """A terminal's side of long messages, for the routed task: see `sidecar.Passage`."""
+
+    __slots__ = ("_chunked", "_front", "_head", "_terminal", "ended", "fault", "keep", "length")
+
+    def __init__(self, front: HttpFront, terminal: _Terminal, head: http.Head) -> None:
+        self._front = front
+        self._terminal = terminal
+        self._head = head
+        self._chunked = False  # the answer
+        self.length = terminal.reader.length  # of the request's body
+        self.ended = not terminal.reader.long  # is all of it read?
+        self.keep = False  # does the connection go on after the answer?
+        self.fault: http.Malformed | None = None  # what was wrong with the request's body
+
+    def _wait(self, events: int, deadline: int) -> None:
+        """Wait on the terminal's socket in the place of its own task, which looks for a hang-up otherwise."""
+        terminal = self._terminal
+        terminal.owned = True
+        terminal.task.wake()
+        try:
+            self._front.scheduler.wait(terminal.fd, events, deadline)
+        finally:
+            terminal.owned = False
+            terminal.task.wake()
+
+    def read(self, size: int) -> bytes:
+        terminal, reader = self._terminal, self._terminal.reader
+        if self.ended:
+            terminal.task.wake()  # the answer has a deadline now
+            return b""
+        now = clock()
+        terminal.held_up += max(0, now - terminal.heard)  # since the last piece came, others were waited for
+        terminal.heard = now
+        try:
+            while not (data := reader.take()) and not reader.done:
+                try:
+                    got = terminal.sock.recv(size)
+                except BlockingIOError:
+                    self._wait(READ, terminal.body_by())
+                    continue
+                terminal.heard = clock()
+                reader.feed(got) if got else reader.end()
+            if reader.done and not data:
+                self.ended = True
+                reader.finish()
+                terminal.task.wake()
+                return http.LAST_CHUNK if self.length is None else b""
+        except http.Malformed as fault:
+            self.fault = fault
+            raise TerminalLeft from None
+        except TimeoutError:
+            self.fault = http.Malformed(408, "the request did not become whole in time")
+            raise TerminalLeft from None
+        except (OSError, http.Truncated):
+            raise TerminalLeft from None
+        return http.chunk(data) if self.length is None else data
+
+    def begin(self, media_type: bytes, length: int | None) -> None:
+        self._chunked = length is None and self._head.version == 1
+        self.keep = self.ended and (length is not None or self._chunked) and self._front.keeps(self._head)
+        lines = b"Content-Type: %b\r\n" % media_type if media_type else b""
+        if length is not None or self._chunked:
+            lines += http.framing(length)
+        if not self.keep:
+            lines += b"Connection: close\r\n"
+        self._terminal.task.wake()  # it must not wait by the client's patience any more
+        if length is None and not self._chunked:
+            # Its end is the connection's: should the answer break off, a reset must tell so.
+            self._terminal.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self._send(b"HTTP/1.1 200 OK\r\n%b\r\n" % lines)
+
+    def write(self, data: bytes) -> None:
+        self._send(http.chunk(data) if self._chunked else data)
+
+    def end(self) -> None:
+        if self._chunked:
+            self._send(http.LAST_CHUNK)
+        self._terminal.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
+
+    def _send(self, data: bytes) -> None:
+        view = memoryview(data)
+        try:
+            while view:
+                try:
+                    view = view[self._terminal.sock.send(view) :]
+                except BlockingIOError:
+                    self._wait(WRITE, clock() + STALL_NS)
+        except OSError:
+            raise TerminalLeft from None
+
 
 class HttpFront:
     """Listens for the application next to this sidecar."""
@@ -298,13 +417,7 @@
         """Answer what is no request and end the connection; what follows on it could be read as anything."""
         try:
             self._write(terminal, http.response(status, reason.encode() + b"\n", _PLAIN, close=True))
-            # Let the answer arrive: closing over unread bytes would reset the connection first.
-            terminal.sock.shutdown(socket.SHUT_WR)
-            deadline = clock() + PAUSE_NS
-            for _ in range(16):
-                self.scheduler.wait(terminal.fd, READ, deadline)
-                if not terminal.sock.recv(RECEIVE):
-                    return
+            self._drain(terminal, PAUSE_NS)
         except (OSError, Cancelled):
             return
 
@@ -317,6 +430,7 @@
             (self.silent if first else self.idle)[terminal] = clock()
         # Guards against clients that say nothing, or begin a request and never end it: they hold a place.
         deadline = terminal.opened + REQUEST_NS if first else clock() + (REQUEST_NS if begun else IDLE_NS)
+        terminal.begun, terminal.head_at, terminal.held_up = deadline - REQUEST_NS, 0, 0
         while message is None:
             if self.passing and reader.empty:
                 terminal.passed = True
@@ -325,7 +439,7 @@
             if self.closing and reader.empty:
                 # A request that crosses the end of the grace on its way is still taken.
                 deadline = min(deadline, clock() + LINGER_NS)
-            head = reader.awaiting_body
+            head = reader.head
             if (
                 head is not None
                 and not continued
@@ -333,6 +447,12 @@
             ):
                 continued = True
                 self._write(terminal, b"HTTP/1.1 100 Continue\r\n\r\n")
+            if head is not None:
+                if not terminal.head_at:
+                    terminal.head_at = terminal.heard = clock()
+                if reader.long:
+                    return http.Message(head, b"")  # its body is passed on while it comes
+                deadline = terminal.body_by()
             try:
                 self.scheduler.wait(terminal.fd, READ, deadline)
                 data = terminal.sock.recv(RECEIVE)
@@ -348,20 +468,21 @@
                 self.idle.pop(terminal, None)
                 if not first:
                     deadline = clock() + REQUEST_NS
+                    terminal.begun = clock()
+            terminal.heard = clock()
             message = reader.feed(data) if data else reader.end()
             if message is None and not data:
                 return None
         return message
 
     def _write(self, terminal: _Terminal, data: bytes) -> None:
-        sent, deadline = 0, 0
-        while True:
-            with suppress(BlockingIOError):
-                sent += terminal.sock.send(data[sent:] if sent else data)
-            if sent == len(data):
-                return
-            deadline = deadline or clock() + WRITE_NS
-            self.scheduler.wait(terminal.fd, WRITE, deadline)
+        """Write it all, however slowly it is taken; raises `TimeoutError` where nothing is for `STALL_NS`."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[terminal.sock.send(view) :]
+            except BlockingIOError:
+                self.scheduler.wait(terminal.fd, WRITE, clock() + STALL_NS)
 
     # ---- requests
 
@@ -370,24 +491,43 @@
         head = message.head
         arrived = clock()
         if head.target == b"/_health":
-            if head.method not in (b"GET", b"HEAD"):
+            if head.method not in (b"GET", b"HEAD") or terminal.reader.long:
                 raise http.Malformed(405, "GET only")
-            status, keep = 200 if self.sidecar.ready else 503, self._keeps(head)
+            status, keep = 200 if self.sidecar.ready else 503, self.keeps(head)
             self._write(terminal, http.response(status, b"", _PLAIN, close=not keep))
             return keep
-        transaction = self._transaction(terminal, message, arrived)
+        passage = _Passage(self, terminal, head)
+        transaction = self._transaction(terminal, message, arrived, passage)
         terminal.answer = None
         if not self.sidecar.submit(transaction):
-            keep = self._keeps(head)
+            if not passage.ended:
+                raise http.Malformed(409, "this call id is in flight")
+            keep = self.keeps(head)
             self._write(terminal, http.response(409, b"this call id is in flight\n", _PLAIN, close=not keep))
             return keep
         if not self._await_answer(terminal, transaction):
             return False
-        keep = self._keeps(head)
+        if passage.fault is not None and not transaction.begun:
+            raise passage.fault
+        if terminal.answer.passed:
+            return passage.keep and terminal.answer.ending is Ending.SERVED
+        keep = passage.ended and self.keeps(head)
         self._write(terminal, _answer_bytes(terminal.answer, close=not keep))
+        if not passage.ended:
+            self._drain(terminal, UNREAD_NS)
         return keep
 
-    def _keeps(self, head: http.Head) -> bool:
+    def _drain(self, terminal: _Terminal, ns: int) -> None:
+        """Read on for a while, and drop what comes: closing over unread bytes would reset the answer away."""
+        terminal.sock.shutdown(socket.SHUT_WR)
+        deadline = clock() + ns
+        for _ in range(2 * http.LONGEST_BODY // RECEIVE):
+            self.scheduler.wait(terminal.fd, READ, deadline)
+            with suppress(BlockingIOError):
+                if not terminal.sock.recv(RECEIVE):
+                    return
+
+    def keeps(self, head: http.Head) -> bool:
         """Does the connection go on after this request's answer?
 
         Guards clients whose share of connections is full of kept ones, on which nobody asks again: where they
@@ -401,7 +541,12 @@
         try:
             while terminal.answer is None:
                 try:
-                    seen = self.scheduler.wait(terminal.fd, events, transaction.give_up_ns)
+                    if terminal.owned:
+                        self.scheduler.wait(-1, 0, None)
+                        continue
+                    busy = not transaction.whole or transaction.begun  # the routed task reads or writes there
+                    events = HANG_UP if busy else events
+                    seen = self.scheduler.wait(terminal.fd, events, transaction.deadline)
                     if seen and not seen & HANG_UP and terminal.sock.recv(1, socket.MSG_PEEK):
                         # An early next request stays in the kernel until this one is answered.
                         events = HANG_UP
@@ -417,7 +562,9 @@
             raise
         return terminal.answer is not None
 
-    def _transaction(self, terminal: _Terminal, message: http.Message, arrived: int) -> Transaction:
+    def _transaction(
+        self, terminal: _Terminal, message: http.Message, arrived: int, passage: _Passage
+    ) -> Transaction:
         """Read the platform's headers."""
         head = message.head
         fields = head.fields
@@ -453,10 +600,13 @@
             raise http.Malformed(400, "Idempotency-Key is needed")
         budget_ns = min(int(float(patience[1]) * _UNIT_NS[patience[2]]), LONGEST_BUDGET_NS)
         further = _further(fields.get(b"x-call-info"))
-        lines, body = head.passed_on(_REPLACED), message.body
+        lines, body, long = head.passed_on(_REPLACED), message.body, not passage.ended
 
         def encode(left_ns: int) -> bytes:
             left = b"X-Budget: %dm\r\n" % max(1, left_ns // mi.NS_PER_MS)
+            if long:
+                framing = http.framing(passage.length)
+                return b"%b %b HTTP/1.1\r\n%b%b%b\r\n" % (head.method, head.target, lines, left, framing)
             return http.request(head.method, head.target, lines + left, body)
 
         def deliver(answer: Answer) -> None:
@@ -470,6 +620,9 @@
             arrived + budget_ns,
             encode,
             deliver,
+            passage,
+            long=long,
+            budget_ns=budget_ns,
             key=place[1].decode("latin-1"),
             tenant=None if tenant is None else tenant.decode("latin-1"),
             retry=fields.get(b"x-again") == b"1",
--- a/iristrack/net/http.py
+++ b/iristrack/net/http.py
@@ -10,8 +10,10 @@
 from dataclasses import dataclass
 
 MAX_HEAD = 16 * 1024
-MAX_BODY = 64 * 1024
-MAX_CHUNK_LINE = 256
+MAX_BODY = 64 * 1024  # of a message that is kept whole
+LONGEST_BODY = 32 << 20  # of a message that is passed on in pieces
+MAX_CHUNK_LINE = 4096  # with its extensions
+LAST_CHUNK = b"0\r\n\r\n"
 MAX_INTERIM = 16  # 1xx answers ahead of one final answer
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
@@ -20,7 +22,7 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5]\d\d)(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\Z")
 _FIELD = re.compile(rb"(" + _TOKEN + rb"):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r\n")
 _DIGITS = re.compile(rb"[0-9]{1,18}\Z")
-_CHUNK = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?\Z")
+_CHUNK = re.compile(rb"([0-9a-fA-F]{1,16})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?\Z")
 _HOP_BY_HOP = frozenset(
     {
         b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
@@ -148,72 +150,96 @@
 
 
 class Reader:
-    """Takes bytes as they come and gives whole messages; the rest of the bytes stays for the next one."""
+    """Takes bytes as they come and gives whole messages; the rest of the bytes stays for the next one.
 
-    __slots__ = ("_at", "_body", "_buffer", "_head", "_interim", "_left", "_limit", "_response", "_state")
+    A message whose body is longer than `whole` is `long`: `feed` gives nothing for it. Its body is had by `take` in
+    the pieces that came, until it is `done`; `finish` goes on to the next message.
+    """
 
-    def __init__(self, response: bool = False, limit: int = MAX_BODY) -> None:
-        """For requests, or for responses; a body may hold `limit` bytes."""
+    __slots__ = (
+        "_at", "_body", "_buffer", "_interim", "_left", "_limit", "_response", "_state", "_streamed", "_whole",
+        "done", "head", "received",
+    )  # fmt: skip
+
+    def __init__(self, response: bool = False, limit: int = MAX_BODY, whole: int = MAX_BODY) -> None:
+        """For requests, or for responses; a body may hold `limit` bytes, and `whole` of them are kept."""
         self._response = response
         self._limit = limit
+        self._whole = whole
         self._buffer = bytearray()
         self._interim = 0
         self._reset()
 
     def _reset(self) -> None:
-        self._head: Head | None = None
-        self._left: int | None = 0
+        self.head: Head | None = None  # of the message whose body is still to come
+        self.done = False  # has all of the body come?
+        self.received = 0  # bytes of the body so far
+        self._left: int | None = 0  # None: chunks; -1: until the connection ends
         self._body = bytearray()
-        self._at = 0  # where the search for the head's end goes on
-        self._state = "size"  # of a chunked body: size, data, data_end or trailer
+        self._at = 0  # where the search for the head's end goes on, then what is left of a chunk or trailer
+        self._state = "size"  # of a chunked body: size, data, end (of a chunk) or trailer
+        self._streamed = False
 
     @property
     def empty(self) -> bool:
         """Is it between messages, with nothing left over?"""
-        return self._head is None and not self._buffer
+        return self.head is None and not self._buffer
+
+    @property
+    def long(self) -> bool:
+        """Is this message's body one that is not kept whole?"""
+        return self.head is not None and (
+            self._streamed or len(self._body) > self._whole or (self._left or 0) + self.received > self._whole
+        )
+
+    @property
+    def length(self) -> int | None:
+        """How many bytes the body has in all, where its head tells."""
+        return None if self._left is None or self._left < 0 else self._left + self.received
 
     @property
-    def awaiting_body(self) -> Head | None:
-        """The head, if it is there and its body is not."""
-        return self._head
+    def unmeasured(self) -> bool:
+        """Is a body under way whose length its head does not tell?"""
+        return self.head is not None and self.length is None
 
     def feed(self, data: bytes) -> Message | None:
         """Take bytes (none: look at those that were left over); a message once one is whole."""
         self._buffer += data
         while True:
-            if self._head is None and not self._take_head():
-                return None
-            head = self._head
-            if self._left is None:
-                if not self._take_chunks():
-                    return None
-                body = bytes(self._body)
-            elif self._left < 0:
-                if len(self._buffer) > self._limit:
-                    raise Malformed(413, "the body is too large")
+            if self.head is None and not self._take_head():
                 return None
-            elif len(self._buffer) >= self._left:
-                body = bytes(self._buffer[: self._left])
-                del self._buffer[: self._left]
-            else:
+            if not self.done:
+                self._advance()
+            if self.long or not self.done:
                 return None
+            message = Message(self.head, bytes(self._body))
             self._reset()
-            if not 100 <= head.status < 200:
+            if not 100 <= message.head.status < 200:
                 self._interim = 0
-                return Message(head, body)
+                return message
             # Guards against answers that never come to their end, and against bytes that are HTTP no more.
             self._interim += 1
-            if self._interim > MAX_INTERIM or head.status == 101:
+            if self._interim > MAX_INTERIM or message.head.status == 101:
                 raise Malformed(502, "too many interim answers, or another protocol")
 
+    def take(self) -> bytes:
+        """What has come of the body since the last call; the message is `long` from now on."""
+        self._streamed = True
+        data = bytes(self._body)
+        self._body.clear()
+        return data
+
+    def finish(self) -> None:
+        """A long message is done: the next one begins."""
+        self._reset()
+        self._interim = 0
+
     def end(self) -> Message | None:
         """The connection ended: the message that this completes, if any; raises `Truncated` inside one."""
-        if self._head is not None and self._left == -1:
-            message = Message(self._head, bytes(self._buffer))
-            self._buffer.clear()
-            self._reset()
-            return message
-        if not self.empty:
+        if self.head is not None and self._left == -1:
+            self.done = True
+            return None if self.long else self.feed(b"")
+        if not self.empty and not self.done:
             raise Truncated("the connection ended inside a message")
         return None
 
@@ -229,10 +255,32 @@
             return False
         head = parse_head(bytes(buffer[: end + 2]), self._response)
         self._left = body_length(head, self._limit)
-        self._head = head
+        self.head = head
+        self._at = 0
         del buffer[: end + 4]
         return True
 
+    def _advance(self) -> None:
+        """Move what has come of the body out of its framing."""
+        if self._left is None:
+            self._take_chunks()
+            return
+        if self._left < 0:
+            self._move(len(self._buffer))
+            if self.received > self._limit:
+                raise Malformed(413, "the body is too large")
+            return
+        self._left -= self._move(self._left)
+        self.done = self._left == 0
+
+    def _move(self, most: int) -> int:
+        size = min(most, len(self._buffer))
+        if size:
+            self._body += self._buffer[:size]
+            del self._buffer[:size]
+            self.received += size
+        return size
+
     def _line(self) -> bytes | None:
         end = self._buffer.find(b"\r\n")
         if end < 0 or end > MAX_CHUNK_LINE:
@@ -243,23 +291,28 @@
         del self._buffer[: end + 2]
         return line
 
-    def _take_chunks(self) -> bool:
-        """Move whole chunks to the body; true once the last one and the trailer are there."""
+    def _take_chunks(self) -> None:
+        """Move what has come of the chunks to the body; done once the last one and the trailer are there."""
         while True:
             if self._state == "data":
-                if len(self._buffer) < self._at + 2:
-                    return False
-                if self._buffer[self._at : self._at + 2] != b"\r\n":
+                self._at -= self._move(self._at)
+                if self._at:
+                    return
+                self._state = "end"
+            if self._state == "end":
+                if len(self._buffer) < 2:
+                    return
+                if self._buffer[:2] != b"\r\n":
                     raise Malformed(400, "a chunk is longer than it says")
-                self._body += self._buffer[: self._at]
-                del self._buffer[: self._at + 2]
+                del self._buffer[:2]
                 self._state = "size"
             line = self._line()
             if line is None:
-                return False
+                return
             if self._state == "trailer":
                 if not line:
-                    return True
+                    self.done = True
+                    return
                 self._at += len(line)
                 if not _FIELD.fullmatch(line + b"\r\n") or self._at > MAX_HEAD:
                     raise Malformed(400, "a trailer that cannot be read")
@@ -268,11 +321,21 @@
             if match is None:
                 raise Malformed(400, "a chunk size that cannot be read")
             self._at = int(match[1], 16)
-            if len(self._body) + self._at > self._limit:
+            if self.received + self._at > self._limit:
                 raise Malformed(413, "the body is too large")
             self._state = "data" if self._at else "trailer"
 
 
+def framing(length: int | None) -> bytes:
+    """The header line that tells where a body ends: a length, or chunks."""
+    return b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
+
+
+def chunk(data: bytes) -> bytes:
+    """One chunk; `data` is not empty."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 def request(method: bytes, target: bytes, lines: bytes, body: bytes = b"") -> bytes:
     """A request; `lines` are whole header lines. GET without a body carries no length."""
     length = b"Content-Length: %d\r\n" % len(body) if body or method not in (b"GET", b"HEAD") else b""
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -19,6 +19,7 @@
 from enum import Enum
 from math import isfinite
 from time import process_time
+from typing import Protocol
 
 from loguru import logger
 
@@ -34,6 +35,10 @@
 DISCOVERY_SLACK_NS = 700 * MS  # and how much later its silence counts as a failure
 DISCOVERY_PAUSE_NS = 50 * MS  # between a failed call and the next: under the 200 ms that end a watch
 DISCOVERY_BODY = 1 << 20
+STALL_NS = 10 * mi.NS_PER_S  # a peer of a long message that neither gives nor takes for so long is given up
+HOLD_NS = 100 * MS  # an answer of unknown length is begun so long after its head if it is not whole by then
+LONG_SHARE = 8  # this part of the memory limit is for what long messages hold, between all of them
+LEAST_PIECE = 4 * 1024
 IDLE_USED = 0.9  # a connection is retired after this share of the time that its server keeps it idle
 SWEEP_NS = mi.NS_PER_S
 REPORT_EVERY_NS = 10 * mi.NS_PER_S
@@ -63,16 +68,37 @@
     body: bytes = b""
     media_type: bytes = b""
     retry_after_ns: int = 0
+    passed: bool = False  # the terminal has it already, as far as there was any of it
     fault: bool = False  # the sidecar itself is at fault
     late: bool = False  # nobody answered in time
 
 
+class TerminalLeft(Exception):
+    """The terminal left, or neither gave nor took anything for too long, while a long message was passed on."""
+
+
+class Passage(Protocol):
+    """How long messages get from and to a terminal: a front's side of it, used by the routed task alone.
+
+    Each may wait and raises `TerminalLeft`. `read` gives the next bytes for the pool server, about `size`, and none
+    once the request has ended. `begin` tells the answer's media type and, where it is known, its length.
+    """
+
+    def read(self, size: int) -> bytes: ...  # noqa: D102
+
+    def begin(self, media_type: bytes, length: int | None) -> None: ...  # noqa: D102
+
+    def write(self, data: bytes) -> None: ...  # noqa: D102
+
+    def end(self) -> None: ...  # noqa: D102
+
+
 class Transaction:
     """What a terminal asked for, from its arrival to its one answer."""
 
     __slots__ = (
-        "answered", "attempt", "deliver", "encode", "give_up_ns", "id", "key", "request_class", "retry",
-        "task", "tenant", "work_hint_ns", "write",
+        "answered", "attempt", "begun", "budget_ns", "deliver", "encode", "give_up_ns", "id", "kept", "key", "long",
+        "passage", "request_class", "retry", "task", "tenant", "whole", "work_hint_ns", "write",
     )  # fmt: skip
 
     def __init__(
@@ -82,19 +108,31 @@
         give_up_ns: int,
         encode: Callable[[int], bytes],
         deliver: Callable[[Answer], None],
+        passage: Passage,
         *,
+        long: bool = False,
+        budget_ns: int = 0,
         key: str | None = None,
         tenant: str | None = None,
         retry: bool = False,
         work_hint_ns: int = 0,
         write: bool = False,
     ) -> None:
-        """`encode` gives the bytes for a pool server, told how long (ns) the sidecar will wait."""
+        """`encode` gives the bytes for a pool server, told how long (ns) the sidecar will wait.
+
+        Of a `long` one it gives those ahead of the body; the client waits `budget_ns` from the body's last byte on.
+        """
         self.id = call_id
         self.request_class = request_class
         self.give_up_ns = give_up_ns
         self.encode = encode
         self.deliver = deliver
+        self.passage = passage
+        self.long = long
+        self.budget_ns = budget_ns
+        self.whole = not long  # has all of it come?
+        self.kept = True  # can it be sent again?
+        self.begun = False  # has its answer begun to be passed on?
         self.key = key
         self.tenant = tenant
         self.retry = retry
@@ -104,17 +142,28 @@
         self.attempt = -1  # number of the last routed task
         self.task: Task | None = None  # the one that is out
 
+    @property
+    def deadline(self) -> int | None:
+        """When the client's patience ends; None while that is not known, or while it has its answer coming."""
+        return self.give_up_ns if self.whole and not self.begun else None
+
 
 class _Link:
     """One connection to a pool server or to discovery."""
 
     __slots__ = ("fd", "idle_since", "reader", "sock", "target")
 
-    def __init__(self, sock: socket.socket, target: _Target | None, limit: int = http.MAX_BODY) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        target: _Target | None,
+        limit: int = http.LONGEST_BODY,
+        whole: int = http.MAX_BODY,
+    ) -> None:
         self.sock = sock
         self.fd = sock.fileno()
         self.target = target
-        self.reader = http.Reader(response=True, limit=limit)
+        self.reader = http.Reader(response=True, limit=limit, whole=whole)
         self.idle_since = 0
 
 
@@ -171,6 +220,7 @@
         self.balancer = Balancer(config.settings, config.seed, learned)
         self.transactions: dict[str, Transaction] = {}
         self.targets: dict[str, _Target] = {}
+        self.passing = 0  # long messages on their way
         self.links = 0  # open connections to pool servers
         self.most_links = most_connections(config)[1]
         self.ready = False  # can it serve: is there a service table?
@@ -294,7 +344,7 @@
             return False
         self.transactions[transaction.id] = transaction
         self.counts.taken += 1
-        self.figures.outstanding += 1
+        self.figures.outstanding += transaction.whole
         self.feed(
             mi.Request(
                 transaction.id,
@@ -305,6 +355,7 @@
                 transaction.work_hint_ns,
                 transaction.retry,
                 transaction.write,
+                transaction.long,
             )
         )
         return True
@@ -314,6 +365,8 @@
         if not transaction.answered:
             self.counts.gone += 1
             self._end(transaction, None)
+            if transaction.begun and transaction.task is not None:
+                transaction.task.cancel()  # there is nobody left to whom the rest could be passed
 
     def expire(self, transaction: Transaction) -> None:
         """The last guard of the one answer: the client's patience ends and the module has said nothing."""
@@ -323,7 +376,7 @@
 
     def _end(self, transaction: Transaction, answer: Answer | None) -> None:
         transaction.answered = True
-        self.figures.outstanding -= 1
+        self.figures.outstanding -= transaction.whole
         if answer is not None:
             self.counts.failed += 1
             self.figures.aborted[transaction.request_class] += 1
@@ -337,7 +390,7 @@
             return
         transaction.answered = True
         figures, name = self.figures, transaction.request_class
-        figures.outstanding -= 1
+        figures.outstanding -= transaction.whole
         if answer.ending is Ending.SERVED:
             self.counts.served += 1
             figures.succeeded[name] += 1
@@ -389,46 +442,80 @@
 
     def _route(self, transaction: Transaction, number: int, server: str, began: int, deadline: int) -> None:
         """One routed task, from its connection to its outcome."""
-        message = None
+        message, left = None, False
         try:
-            outcome, message = self._call(server, began, deadline, transaction.encode)
+            outcome, message = self._call(server, began, deadline, transaction.encode, transaction, number)
         except Cancelled:
             outcome = mi.Outcome.CANCELLED
+        except TerminalLeft:
+            outcome, left = mi.Outcome.CANCELLED, True
         except Exception:
             # Guards the process: the fault ends this transaction, which may have reached a server.
             logger.exception("a routed task failed")
             outcome = mi.Outcome.RESET
-            self._answer(transaction.id, Answer(Ending.FAILED, fault=True))
+            self._answer(transaction.id, Answer(Ending.FAILED, fault=True, passed=transaction.begun))
         transaction.task = None
+        if left:
+            self.hang_up(transaction)
+            transaction.deliver(
+                Answer(Ending.FAILED, passed=True)
+            )  # its front looks after what is left of it
         report = None
         if message is not None:
             fields = message.head.fields
             report = _load_report(fields.get(b"x-load-report"))
             if outcome is mi.Outcome.OK:
                 media_type = fields.get(b"content-type", b"")
-                self._answer(transaction.id, Answer(Ending.SERVED, message.body, media_type))
+                self._answer(
+                    transaction.id, Answer(Ending.SERVED, message.body, media_type, passed=transaction.begun)
+                )
+        if transaction.begun:  # and could not be finished
+            self._answer(transaction.id, Answer(Ending.FAILED, passed=True))
         final, latency = transaction.answered, clock() - began
-        self.feed(mi.AttemptEnded(transaction.id, number, server, outcome, final, latency, report))
+        self.feed(
+            mi.AttemptEnded(transaction.id, number, server, outcome, final, latency, report, transaction.kept)
+        )
         self._settle(transaction)
 
     def _call(
-        self, server: str, began: int, deadline: int, encode: Callable[[int], bytes], forward: int = 1
+        self,
+        server: str,
+        began: int,
+        deadline: int,
+        encode: Callable[[int], bytes],
+        transaction: Transaction | None = None,
+        number: int = 0,
     ) -> tuple[mi.Outcome, http.Message | None]:
-        """One request to a pool server: how it ended, and the answer if there was one.
+        """One request to a pool server: how it ended, and the answer if there was one. A probe has no transaction.
 
         Before it returns, or raises, its connection is put back or closed: the module may send again as soon
         as it hears of the end, and a given-up attempt on an open connection would be a second copy then.
         """
         link, written, keep = None, False, False
+        long = transaction is not None and transaction.long
         try:
             self.scheduler.checkpoint()
+            if long and not transaction.kept:
+                return mi.Outcome.NOT_SENT, None  # its beginning is no longer here
             link = self._take_link(server, min(deadline, began + self.connect_timeout_ns))
             if link is None or not self._may_begin(server, link.target):
                 return mi.Outcome.NOT_SENT, None
-            self._write(link, encode(deadline - clock()), deadline)
+            left = transaction.budget_ns if long else deadline - clock()
+            self._write(link, encode(left), deadline)
+            if long:
+                if not self._pass_request(link, transaction, number):
+                    return self._early(link)
+                deadline = transaction.give_up_ns - REPLY_MARGIN_NS
             written = True
-            self.figures.forwards += forward
-            message = self._read(link, deadline)
+            self.figures.forwards += transaction is not None
+            message = self._read(link, deadline, HOLD_NS if transaction is not None else 0)
+            if message is None:
+                message = http.Message(link.reader.head, b"")
+                outcome = _classify(message)
+                if outcome is mi.Outcome.OK:
+                    self._pass_answer(link, transaction, number, server, began)
+                    keep = message.head.keeps_alive and link.reader.empty
+                return outcome, message
             keep = message.head.keeps_alive and link.reader.empty
             return _classify(message), message
         except TimeoutError:
@@ -443,6 +530,79 @@
             if link is not None:
                 self._put_back(link) if keep else self._close(link)
 
+    # ---- long messages
+
+    def piece(self) -> int:
+        """How much of a long message is read at once: all of them share one part of the memory.
+
+        Each holds one piece while it waits, and as much again while it is framed for the other side.
+        """
+        room = (self.config.memory_mb << 20) // LONG_SHARE or RECEIVE * self.most_links
+        return max(LEAST_PIECE, min(RECEIVE, room // (2 * max(1, self.passing))))
+
+    def _pass_request(self, link: _Link, transaction: Transaction, number: int) -> bool:
+        """Pass on the body of a long request as it comes; false where the pool server spoke before its end."""
+        self.passing += 1
+        try:
+            while data := transaction.passage.read(self.piece()):
+                transaction.kept = False
+                if not _is_quiet(link.sock):
+                    return False
+                self._write_stalling(link, data)
+        finally:
+            self.passing -= 1
+        now = clock()
+        transaction.give_up_ns = now + transaction.budget_ns
+        if not transaction.answered:
+            transaction.whole = True
+            self.figures.outstanding += 1
+        self.feed(mi.AttemptWritten(transaction.id, number, transaction.give_up_ns - REPLY_MARGIN_NS))
+        return True
+
+    def _early(self, link: _Link) -> tuple[mi.Outcome, http.Message | None]:
+        """What a pool server said before a long request's end: it never began that, whatever it says."""
+        try:
+            message = self._read(link, clock() + self.connect_timeout_ns, 0)
+        except (OSError, http.Malformed, http.Truncated):
+            return mi.Outcome.CONNECT_FAILED, None  # broken before the last byte
+        if message is not None and _classify(message) is mi.Outcome.REJECTED:
+            return mi.Outcome.REJECTED, message
+        return mi.Outcome.CONNECT_FAILED, None
+
+    def _pass_answer(
+        self, link: _Link, transaction: Transaction, number: int, server: str, began: int
+    ) -> None:
+        """Pass on an answer as it comes. It is the terminal's from now on: only silence ends it."""
+        reader, passage = link.reader, transaction.passage
+        transaction.begun = True
+        self.passing += 1
+        try:
+            passage.begin(reader.head.fields.get(b"content-type", b""), reader.length)
+            self.feed(mi.AttemptStarted(transaction.id, number, server, clock() - began))
+            while True:
+                data = reader.take()
+                if data:
+                    passage.write(data)
+                if reader.done:
+                    break
+                self.scheduler.wait(link.fd, READ, clock() + STALL_NS)
+                with suppress(BlockingIOError):
+                    data = link.sock.recv(self.piece())
+                    reader.feed(data) if data else reader.end()
+            passage.end()
+            reader.finish()
+        finally:
+            self.passing -= 1
+
+    def _write_stalling(self, link: _Link, data: bytes) -> None:
+        """Write a piece of a long request, however slowly it is taken."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[link.sock.send(view) :]
+            except BlockingIOError:
+                self.scheduler.wait(link.fd, WRITE, clock() + STALL_NS)
+
     def _may_begin(self, server: str, target: _Target) -> bool:
         """Look once more at the first byte: a connection takes time to come up, and the list may change.
 
@@ -507,18 +667,29 @@
                 return
             self.scheduler.wait(link.fd, WRITE, deadline)
 
-    def _read(self, link: _Link, deadline: int) -> http.Message:
+    def _read(self, link: _Link, deadline: int, hold_ns: int = 0) -> http.Message | None:
+        """The next message; None where it is a long one, or after `hold_ns` one that does not tell its length."""
+        reader, until = link.reader, deadline
         while True:
-            self.scheduler.wait(link.fd, READ, deadline)
+            try:
+                self.scheduler.wait(link.fd, READ, until)
+            except TimeoutError:
+                if until < deadline:
+                    return None
+                raise
             try:
                 data = link.sock.recv(RECEIVE)
             except BlockingIOError:
                 continue
-            message = link.reader.feed(data) if data else link.reader.end()
+            message = reader.feed(data) if data else reader.end()
             if message is not None:
                 return message
+            if reader.long:
+                return None
             if not data:
                 raise ConnectionResetError("closed before an answer")
+            if hold_ns and until == deadline and reader.unmeasured and reader.head.status == 200:
+                until = min(deadline, clock() + hold_ns)
 
     def _put_back(self, link: _Link) -> None:
         target = link.target
@@ -577,7 +748,7 @@
         began = clock()
         path = b"/_load" if self.settings.report_fields else b"/ping"
         asked = http.request(b"GET", path, b"Host: pool\r\n")
-        outcome, message = self._call(server, began, began + self.probe_timeout_ns, lambda left_ns: asked, 0)
+        outcome, message = self._call(server, began, began + self.probe_timeout_ns, lambda left_ns: asked)
         report = None
         if message is not None:
             report = _load_report(message.body or message.head.fields.get(b"x-load-report"))
@@ -640,7 +811,7 @@
 
     def _call_discovery(self) -> _Link:
         deadline = clock() + DISCOVERY_SLACK_NS
-        return _Link(self._connect(self.config.discovery, deadline), None, DISCOVERY_BODY)
+        return _Link(self._connect(self.config.discovery, deadline), None, DISCOVERY_BODY, DISCOVERY_BODY)
 
     def _ask_discovery(self, link: _Link, wait_ms: int) -> bool:
         """One call: the whole list, or with a wait what changed. False: the whole list is to be asked for."""
--- a/iristrack/records.py
+++ b/iristrack/records.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from hashlib import blake2b
 from typing import Any
 
@@ -28,6 +29,24 @@
         self.backoff = FIRST_BACKOFF_NS
 
 
+class ClassRecord:
+    """What was learned of a class: latencies in ns, shares, and its attempts out."""
+
+    __slots__ = ("base", "dev", "faulty", "least", "low", "mean", "outstanding", "seen", "spec", "total")
+
+    def __init__(self, spec: mi.RequestClass, target: float, faulty: float) -> None:
+        """Nothing is learned: `target` is the share of the aim that an answer is taken to need."""
+        self.spec = spec
+        self.mean = spec.aim_ns * target  # mean latency of good answers, and its mean deviation
+        self.dev = spec.aim_ns * target / 4
+        self.base = float(spec.aim_ns)  # mean latency when uncrowded: the lowest window's, slowly forgotten
+        self.low = spec.aim_ns  # the fastest answer: what no crowd changes, such as waits on others
+        self.least = spec.aim_ns  # and that of this window
+        self.faulty = faulty  # the share of attempts that end as errors at servers in use
+        self.seen = self.total = 0
+        self.outstanding: deque = deque()  # (request, attempt), oldest first
+
+
 class Attempt:
     """One attempt: at which server, since when, and how it stands."""
 
