Let half-written requests go for whole ones once all places are taken

Cause: with all places taken, a look for room that found none old enough was never repeated, so that half-written requests kept their places for 2.5 s, one group after another; a failed accept was logged 20 times a second.

Those that have not gone on with their request for 1 s go too, after silent and idle ones, and room is looked for again every 50 ms.

--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -32,7 +32,9 @@
 
 IDLE_NS = 120 * mi.NS_PER_S  # a client's connection between requests is closed after so long,
 CROWDED_IDLE_NS = 2 * mi.NS_PER_S  # after so long where clients' connections are many,
-SILENT_NS = 100 * mi.NS_PER_MS  # and one that never said anything after so long once all places are taken
+SILENT_NS = 100 * mi.NS_PER_MS  # and, once all places are taken, one that never said anything after so long,
+HALF_NS = mi.NS_PER_S  # or one that has not gone on with its request for so long
+TELL_NS = 10 * mi.NS_PER_S  # between two log lines of failed accepts
 MANY = 2 / 9  # of the descriptors; clients hold no more than a third of them for their requests
 REQUEST_NS = 2500 * mi.NS_PER_MS  # a request must be whole so long after it began, the first after connecting
 BODY_SLACK_NS = 800 * mi.NS_PER_MS  # or, where its body takes longer, so long after its head and
@@ -196,6 +198,9 @@
         # requests.
         self.silent: dict[_Terminal, int] = {}
         self.idle: dict[_Terminal, int] = {}
+        # Those whose request is not whole yet, since they last gave a byte, longest first.
+        self.half: dict[_Terminal, int] = {}
+        self._told_at = 0  # when a failed accept was last logged
         self.stopping = False
         self._listener: socket.socket | None = None
         self._begun = self._accepting = False
@@ -345,7 +350,9 @@
             except ConnectionAbortedError:
                 continue  # that one client has left again
             except OSError as fault:
-                logger.warning("accept failed: {}", fault)
+                if clock() >= self._told_at + TELL_NS:  # it may go on for long
+                    self._told_at = clock()
+                    logger.warning("accept failed: {}", fault)
                 self._pause_accepting()
                 self.scheduler.call_at(clock() + PAUSE_NS, self._resume_accepting)
                 return False
@@ -366,10 +373,20 @@
         Guards the usual clients against others that connect and say nothing, or ask once and stay.
         """
         now, closed = clock(), False
-        for places, span in ((self.silent, SILENT_NS), (self.idle, CROWDED_IDLE_NS)):
+        for places, span in (
+            (self.silent, SILENT_NS), (self.idle, CROWDED_IDLE_NS), (self.half, HALF_NS)
+        ):  # fmt: skip
             closed = closed or self._close_those(places, now - span, ACCEPTS)
         if not closed:  # each that ends lets others in; until one does, look again
-            self.scheduler.call_at(now + SILENT_NS // 2, self._resume_accepting)
+            self.scheduler.call_at(now + SILENT_NS // 2, self._look_again)
+
+    def _look_again(self) -> None:
+        if self._accepting or self._listener is None:
+            return
+        if len(self.terminals) >= self.most:
+            self._make_room()
+        else:
+            self._resume_accepting()
 
     def _sweep(self) -> None:
         """Guards memory and descriptors: a client that asked once may keep its connection for good."""
@@ -408,8 +425,8 @@
             if not terminal.passed:
                 terminal.sock.close()
             self.terminals.discard(terminal)
-            self.silent.pop(terminal, None)
-            self.idle.pop(terminal, None)
+            for places in (self.silent, self.idle, self.half):
+                places.pop(terminal, None)
             self._resume_accepting()
             self._end_if_done()
 
@@ -451,6 +468,7 @@
                 if not terminal.head_at:
                     terminal.head_at = terminal.heard = clock()
                 if reader.long:
+                    self.half.pop(terminal, None)
                     return http.Message(head, b"")  # its body is passed on while it comes
                 deadline = terminal.body_by()
             try:
@@ -471,8 +489,11 @@
                     terminal.begun = clock()
             terminal.heard = clock()
             message = reader.feed(data) if data else reader.end()
-            if message is None and not data:
-                return None
+            self.half.pop(terminal, None)
+            if message is None:
+                if not data:
+                    return None
+                self.half[terminal] = terminal.heard
         return message
 
     def _write(self, terminal: _Terminal, data: bytes) -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -336,3 +336,19 @@
         [sys.executable, "-m", "iristrack", "version"], cwd=ROOT, capture_output=True, check=True
     )
     assert done.stdout.startswith(b"iristrack ")
+
+
+def test_half_written_requests_by_the_hundreds_leave_room_for_whole_ones(stage: Stage) -> None:
+    stage.pool("s1")
+    program = stage.start(limits={"cores": 1.0, "memory_mb": 40, "sockets": 96})
+    half = [socket.create_connection(("127.0.0.1", program.port)) for _ in range(120)]
+    for sock in half:
+        sock.sendall(call("half")[:60])
+    assert program.ask("r1").head.status == 200
+    assert "Too many open files" not in program.log.read_text()
+    # The first ones had to go for those behind them, well before their time was up, which is told by a 408.
+    ends = []
+    for sock in half[:30]:
+        sock.settimeout(60)
+        ends.append(sock.recv(100))
+    assert ends.count(b"") > 15
