--- a/iristrack/net/door.py
+++ b/iristrack/net/door.py
@@ -21,6 +21,7 @@
 SILENT_NS = 50 * mi.NS_PER_MS  # once all places are taken, who has been here longer without a call goes
 FULL_NS = 5 * mi.NS_PER_MS  # between looks while all places are taken
 LINGER_NS = 50 * mi.NS_PER_MS  # an answer is left so long to arrive before the close
+TELL_NS = 10 * mi.NS_PER_S  # between two log lines of failed accepts
 ACCEPTS = 32
 RECEIVE = 4096
 _PLAIN = b"Content-Type: text/plain\r\n"
@@ -45,6 +46,7 @@
         self.callers: dict[Task, int] = {}  # without a whole call yet: since when, in ns, longest first
         self._listener: socket.socket | None = None
         self._accepting = False
+        self._told_at = 0  # when a failed accept was last logged
 
     def start(self) -> None:
         """Listen; raises `OSError` where the address cannot be had."""
@@ -75,7 +77,9 @@
             except (BlockingIOError, ConnectionAbortedError):
                 return
             except OSError as fault:
-                logger.warning("the door's accept failed: {}", fault)
+                if clock() >= self._told_at + TELL_NS:  # it may go on for long
+                    self._told_at = clock()
+                    logger.warning("the door's accept failed: {}", fault)
                 self._pause(clock() + SILENT_NS)
                 return
             sock.setblocking(False)
