End a long request's routed task with its terminal, whatever the module calls off

Need: where a site's settings forbid calling attempts off, a routed task would go on waiting on the descriptor of a terminal that has left, which may be another client's by then. Test: a module that calls nothing off; it fails without the change.

--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -380,8 +380,10 @@
         if not transaction.answered:
             self.counts.gone += 1
             self._end(transaction, None)
-            if transaction.begun and transaction.task is not None:
-                transaction.task.cancel()  # there is nobody left to whom the rest could be passed
+            if (transaction.begun or not transaction.whole) and transaction.task is not None:
+                # There is nobody left to whom, or from whom, the rest could be passed; and the routed task must not
+                # wait on a descriptor that its front is about to close.
+                transaction.task.cancel()
 
     def expire(self, transaction: Transaction) -> None:
         """The last guard of the one answer: the client's patience ends and the module has said nothing."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -245,6 +245,29 @@
     bench.until(lambda: "s9" in bench.sidecar.targets)
 
 
+def test_a_long_request_ends_with_its_terminal_even_where_the_module_calls_nothing_off(bench: Bench) -> None:
+    # Its routed task reads from the terminal's descriptor, which is another client's once it is closed.
+    class Waiting:
+        def read(self, size: int) -> bytes:
+            bench.scheduler.wait(-1, 0, clock() + LONG)
+            return b"never"
+
+    pool = bench.pool("s1", serve)
+    bench.start()
+    bench.script.reply = send_once()
+    transaction = Transaction(
+        "r1", "pay", clock() + LONG, lambda ns: b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n",
+        bench.answers.append, Waiting(), long=True, budget_ns=LONG,
+    )  # fmt: skip
+    assert bench.sidecar.submit(transaction)
+    bench.until(lambda: pool.open)
+    assert bench.sidecar.figures.outstanding == 0  # it is taken once its last byte has come
+    bench.sidecar.hang_up(transaction)
+    bench.until(lambda: bench.script.seen(mi.AttemptEnded) and not pool.open)
+    assert bench.script.seen(mi.AttemptEnded)[0].outcome is mi.Outcome.CANCELLED
+    assert (pool.heads, bench.answers, bench.sidecar.transactions) == ([], [], {})
+
+
 def test_the_clock_is_unix_time_so_that_starts_compare(bench: Bench) -> None:
     bench.discovery.put("s1", "127.0.0.1:1", up_since_ms=1_700_000_000_000)
     bench.start()
