Test the door beside a loop that is never idle, and a want of descriptors

A call costs at most 10 turns beside 200 tasks that are always ready; five failed accepts are one line and no busy loop.

--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import signal
 import socket
+import threading
 import time
 
 import pytest
-from stage import Stage, Terminal, call, error, free_port, reject, reset, serve, silent, until
+from loguru import logger
+from stage import ROOT, Stage, Terminal, call, error, free_port, reject, reset, serve, silent, until
 
-from iristrack.net.door import MOST_CALLERS
+from iristrack.config import ConfigError, load
+from iristrack.net.door import MOST_CALLERS, Door
+from iristrack.net.front import HttpFront
+from iristrack.net.scheduler import Scheduler
+from iristrack.net.sidecar import Sidecar
 
 
 @pytest.fixture
@@ -113,10 +120,6 @@
 
 
 def test_the_variable_stands_above_the_file_and_without_either_there_is_no_door(tmp_path) -> None:
-    from stage import ROOT
-
-    from iristrack.config import ConfigError, load
-
     told = json.loads((ROOT / "examples" / "config.json").read_text())
     told.pop("admin_addr", None)
     path = tmp_path / "config.json"
@@ -127,3 +130,61 @@
     assert load({"NODE_CONFIG": str(path), "NODE_ADMIN_ADDR": "[::1]:8"}).admin == ("::1", 8)
     with pytest.raises(ConfigError):
         load({"NODE_CONFIG": str(path), "NODE_ADMIN_ADDR": "nowhere"})
+
+
+def test_a_call_costs_a_few_turns_of_a_loop_that_is_never_idle() -> None:
+    scheduler = Scheduler()
+    door = Door(scheduler, ("127.0.0.1", free_port()), lambda: True, lambda: {"outstanding": 1})
+    door.start()
+    over, turns = threading.Event(), []
+
+    def busy() -> None:
+        while not over.is_set():
+            time.sleep(0.0002)
+            scheduler.sleep(1000)
+
+    def caller() -> None:
+        for _ in range(5):
+            before = scheduler.turns
+            assert (
+                Terminal(door.address[1]).exchange(b"GET /stats HTTP/1.1\r\n\r\n").body
+                == b"node.outstanding=1\n"
+            )
+            turns.append(scheduler.turns - before)
+        over.set()
+
+    for _ in range(200):
+        scheduler.spawn("busy", busy)
+    threading.Thread(target=caller, daemon=True).start()
+    scheduler.spawn(
+        "end", lambda: ([scheduler.sleep(10**7) for _ in iter(over.is_set, True)], scheduler.stop())
+    )
+    scheduler.run()
+    assert len(turns) == 5 and max(turns) <= 10
+
+
+def test_a_want_of_descriptors_is_one_line_and_a_pause(monkeypatch: pytest.MonkeyPatch) -> None:
+    config = load({"NODE_CONFIG": str(ROOT / "examples" / "config.json")})
+    scheduler, lines = Scheduler(), []
+    http_front = HttpFront(scheduler, Sidecar(scheduler, config), config.listen)
+    door = Door(scheduler, ("127.0.0.1", 0), lambda: True, dict)
+    sink = logger.add(lambda line: lines.append(str(line)), level="WARNING", format="{message}")
+    ours, theirs = socket.socketpair()
+
+    class Wanting:
+        fileno = staticmethod(ours.fileno)
+
+        def accept(self) -> None:
+            raise OSError(errno.EMFILE, "Too many open files")
+
+    for place in (http_front, door):
+        place._listener = Wanting()
+        for _ in range(5):
+            place._accepting = True
+            scheduler.watch(ours.fileno(), place._accept)
+            assert not place._accept()
+            assert not place._accepting  # the loop does not spin: it looks again after a pause
+    logger.remove(sink)
+    assert len(lines) == 2  # one of each, in 10 s
+    theirs.close()
+    ours.close()
