Send and listen in one place each, and say plainly what a new user does wrong

Need: five loops that send, two that make a listener; a wrong NODE_ADMIN_ADDR was put on the file, check-config said nothing of the door, and Ctrl-C in the new benchmarks ended in a traceback.

send_all and listening are the scheduler's; the fault names admin_addr and its variable; check-config tells where the door is; the benchmarks end with one line and stop what they started.

--- a/benchmarks/long.py
+++ b/benchmarks/long.py
@@ -14,6 +14,7 @@
 import tempfile
 import threading
 import time
+from contextlib import suppress
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -47,6 +48,10 @@
     listener = socket.create_server(("127.0.0.1", 0), backlog=256)
 
     def serve(sock: socket.socket) -> None:
+        with suppress(OSError):
+            answer(sock)
+
+    def answer(sock: socket.socket) -> None:
         head = b""
         while b"\r\n\r\n" not in head:
             head += sock.recv(4096)
@@ -69,7 +74,7 @@
 
 def transfer(port: int, number: int, whole: list[bool]) -> None:
     """One transaction with 32 MB; whether it came whole."""
-    with socket.create_connection(("127.0.0.1", port), timeout=60) as sock:
+    with suppress(OSError), socket.create_connection(("127.0.0.1", port), timeout=60) as sock:
         if number % 2:
             sock.sendall(call(f"r{number}", "view", key=f"k{number}"))
             whole.append(drain(sock, SIZE) >= SIZE)
@@ -100,16 +105,18 @@
             program = Program(Path(folder), discovery, limits=limits)
             rest, began, whole = memory_mb(program, "VmRSS"), time.monotonic(), []
             threads = [
-                threading.Thread(target=transfer, args=(program.port, i, whole))
+                threading.Thread(target=transfer, args=(program.port, i, whole), daemon=True)
                 for i in range(chosen.at_once)
             ]
-            for thread in threads:
-                thread.start()
-            for thread in threads:
-                thread.join()
-            most, took = memory_mb(program, "VmHWM"), time.monotonic() - began
-            program.process.terminate()
-            program.process.wait(30)
+            try:
+                for thread in threads:
+                    thread.start()
+                for thread in threads:
+                    thread.join()
+                most, took = memory_mb(program, "VmHWM"), time.monotonic() - began
+            finally:
+                program.process.terminate()
+                program.process.wait(30)
         failed += chosen.at_once - sum(whole)
         print(
             f"run {run + 1}: at rest {rest:.1f} MB, highest {most:.1f} MB,"
@@ -120,4 +127,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    try:
+        sys.exit(main())
+    except KeyboardInterrupt:
+        sys.exit("stopped")
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -14,6 +14,7 @@
 import tempfile
 import threading
 import time
+from contextlib import suppress
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -29,11 +30,12 @@
 def load(port: int, number: int, until: float) -> None:
     """Ask on one connection, again and again, under new ids and changing keys."""
     terminal, count = Terminal(port), 0
-    while time.monotonic() < until:
-        count += 1
-        name = ("view", "pay")[count % 2]
-        terminal.exchange(call(f"r{number}-{count}", name, key=f"k{(number * 31 + count) % 400}"))
-        time.sleep(PAUSE_S)
+    with suppress(OSError):  # the program was stopped: its report tells how far it came
+        while time.monotonic() < until:
+            count += 1
+            name = ("view", "pay")[count % 2]
+            terminal.exchange(call(f"r{number}-{count}", name, key=f"k{(number * 31 + count) % 400}"))
+            time.sleep(PAUSE_S)
 
 
 def played(seconds: float, kept: bool) -> tuple[float, float]:
@@ -45,13 +47,18 @@
         changes = {"state": {"folder": f"{folder}/state"}} if kept else {}
         program = Program(Path(folder), discovery, **changes)
         until = time.monotonic() + seconds
-        threads = [threading.Thread(target=load, args=(program.port, i, until)) for i in range(CONNECTIONS)]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        program.process.terminate()
-        program.process.wait(30)
+        threads = [
+            threading.Thread(target=load, args=(program.port, i, until), daemon=True)
+            for i in range(CONNECTIONS)
+        ]
+        try:
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+        finally:
+            program.process.terminate()
+            program.process.wait(30)
         told = REPORT.findall(program.log.read_text())
     return max(float(turn) for _, turn in told), sum(float(cpu) for cpu, _ in told) / len(told)
 
@@ -75,4 +82,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    try:
+        sys.exit(main())
+    except KeyboardInterrupt:
+        sys.exit("stopped")
--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -155,7 +155,12 @@
         return 2
     if woken is None:
         classes = ", ".join(c.name for c in config.settings.classes)
-        print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}; classes {classes}")
+        door = (
+            f"the operators' door at {config.admin[0]}:{config.admin[1]}"
+            if config.admin
+            else "no operators' door"
+        )
+        print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}; {door}; classes {classes}")
         return 0
     logger.remove()
     logger.add(
--- a/iristrack/config.py
+++ b/iristrack/config.py
@@ -170,6 +170,14 @@
     return host.strip("[]"), int(port)
 
 
+def _admin(text: object) -> Address | None:
+    """Where the operators' door is; the fault names both places that may have told it."""
+    try:
+        return read_address(str(text)) if text else None
+    except ValueError as fault:
+        raise ValueError(f"admin_addr, or NODE_ADMIN_ADDR: {fault}") from None
+
+
 def flatten(value: object, at: str = "") -> Fields:
     """Nested JSON as the simulator's path=value pairs, so that one reader serves both."""
     if isinstance(value, Mapping):
@@ -244,7 +252,7 @@
             sockets=int(limits.get("sockets") or 1024),
             memory_mb=int(limits.get("memory_mb") or 0),
             state=state.get("folder", ""),
-            admin=read_address(str(admin)) if admin else None,
+            admin=_admin(admin),
         )
     except (ValueError, TypeError, OverflowError) as fault:
         raise ConfigError(f"{path}: {' '.join(str(fault).split())}") from None
--- a/iristrack/net/door.py
+++ b/iristrack/net/door.py
@@ -14,7 +14,7 @@
 from iristrack import interface as mi
 from iristrack.config import Address
 from iristrack.net import http
-from iristrack.net.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock
+from iristrack.net.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock, listening, send_all
 
 MOST_CALLERS = 32  # at once; with the listener, under DOOR_DESCRIPTORS
 CALL_NS = 2 * mi.NS_PER_S  # a call must be whole, and its answer taken, so long after connecting
@@ -23,6 +23,7 @@
 LINGER_NS = 50 * mi.NS_PER_MS  # an answer is left so long to arrive before the close
 TELL_NS = 10 * mi.NS_PER_S  # between two log lines of failed accepts
 ACCEPTS = 32
+BACKLOG = 128
 RECEIVE = 4096
 _PLAIN = b"Content-Type: text/plain\r\n"
 
@@ -50,11 +51,7 @@
 
     def start(self) -> None:
         """Listen; raises `OSError` where the address cannot be had."""
-        family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
-        self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(self.address)
-        self._listener.listen(128)
+        self._listener = listening(self.address, BACKLOG)
         self._resume()
 
     def _resume(self) -> None:
@@ -101,7 +98,7 @@
         try:
             answer = self._answer(sock, deadline)
             self.callers.pop(self.scheduler.current, None)
-            self._write(sock, answer, deadline)
+            send_all(sock, answer, lambda: self.scheduler.wait(sock.fileno(), WRITE, deadline))
             sock.shutdown(socket.SHUT_WR)  # closing over unread bytes would reset the connection first
             deadline = clock() + LINGER_NS
             for _ in range(16):
@@ -154,10 +151,3 @@
         if self.ready():
             return http.response(200, b"ready\n", _PLAIN, close=True)
         return http.response(503, b"not ready\n", _PLAIN, close=True)
-
-    def _write(self, sock: socket.socket, data: bytes, deadline: int) -> None:
-        while data:
-            try:
-                data = data[sock.send(data) :]
-            except BlockingIOError:
-                self.scheduler.wait(sock.fileno(), WRITE, deadline)
--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -19,7 +19,17 @@
 from iristrack import interface as mi
 from iristrack.config import Address
 from iristrack.net import handover, http
-from iristrack.net.scheduler import HANG_UP, READ, WRITE, Cancelled, Scheduler, Task, clock
+from iristrack.net.scheduler import (
+    HANG_UP,
+    READ,
+    WRITE,
+    Cancelled,
+    Scheduler,
+    Task,
+    clock,
+    listening,
+    send_all,
+)
 from iristrack.net.sidecar import (
     STALL_NS,
     Answer,
@@ -43,9 +53,8 @@
 SWEEP_NS = 500 * mi.NS_PER_MS
 STOP_GRACE_NS = 500 * mi.NS_PER_MS  # the platform lets connections come for up to 400 ms after SIGTERM
 LINGER_NS = 50 * mi.NS_PER_MS  # what an idle connection is left after the grace
-PAUSE_NS = (
-    50 * mi.NS_PER_MS
-)  # between failed accepts, and for the answer to bytes that are no request to arrive
+# Between failed accepts, and for the answer to bytes that are no request to arrive,
+PAUSE_NS = 50 * mi.NS_PER_MS
 UNREAD_NS = 3 * mi.NS_PER_S  # and that to a long request which was given up before its end
 ACCEPTS = 32  # most connections taken in one turn
 RECEIVE = 64 * 1024
@@ -173,13 +182,8 @@
         self._terminal.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
 
     def _send(self, data: bytes) -> None:
-        view = memoryview(data)
         try:
-            while view:
-                try:
-                    view = view[self._terminal.sock.send(view) :]
-                except BlockingIOError:
-                    self._wait(WRITE, clock() + STALL_NS)
+            send_all(self._terminal.sock, data, lambda: self._wait(WRITE, clock() + STALL_NS))
         except OSError:
             raise TerminalLeft from None
 
@@ -218,13 +222,8 @@
             self._resize(max(inherited[1], self.sidecar.config.sockets // 2))
             logger.info("the predecessor's listening socket is shared")
         else:
-            family = socket.AF_INET6 if ":" in self.listen[0] else socket.AF_INET
-            self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            # Where a predecessor cannot be spoken with, a new version can still begin beside it.
-            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            self._listener.bind(self.listen)
-            self._listener.listen(self.sidecar.config.sockets)
+            # Shared: where a predecessor cannot be spoken with, a new version can still begin beside it.
+            self._listener = listening(self.listen, self.sidecar.config.sockets, shared=True)
         self.handover.follow(self._adopt, self._resize, self._alone)
         self._begin(inherited is not None)
         self._sweep()
@@ -498,12 +497,7 @@
 
     def _write(self, terminal: _Terminal, data: bytes) -> None:
         """Write it all, however slowly it is taken; raises `TimeoutError` where nothing is for `STALL_NS`."""
-        view = memoryview(data)
-        while view:
-            try:
-                view = view[terminal.sock.send(view) :]
-            except BlockingIOError:
-                self.scheduler.wait(terminal.fd, WRITE, clock() + STALL_NS)
+        send_all(terminal.sock, data, lambda: self.scheduler.wait(terminal.fd, WRITE, clock() + STALL_NS))
 
     # ---- requests
 
--- a/iristrack/net/scheduler.py
+++ b/iristrack/net/scheduler.py
@@ -8,6 +8,7 @@
 
 import heapq
 import select
+import socket
 import time
 from collections import deque
 from collections.abc import Callable
@@ -32,6 +33,32 @@
     return time.monotonic_ns() + _OFFSET
 
 
+def send_all(sock: socket.socket, data: bytes, wait: Callable[[], object]) -> None:
+    """Send it all; `wait` is called whenever nothing more is taken, and raises where that is to end."""
+    view = memoryview(data)
+    while view:
+        try:
+            view = view[sock.send(view) :]
+        except BlockingIOError:
+            wait()
+
+
+def listening(address: tuple[str, int], backlog: int, shared: bool = False) -> socket.socket:
+    """A socket that listens, `shared` with others of this user; raises `OSError` where the address cannot be had."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class Cancelled(Exception):
     """Thrown into a task that was called off."""
 
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -28,7 +28,7 @@
 from iristrack.balance import Balancer
 from iristrack.config import REPORT_NAMES, Address, Config, read_address
 from iristrack.net import http
-from iristrack.net.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock
+from iristrack.net.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock, send_all
 
 MS = mi.NS_PER_MS
 REPLY_MARGIN_NS = 8 * MS  # what is kept back of a client's patience, for the answer's own way
@@ -565,7 +565,7 @@
                 transaction.kept = False
                 if not _is_quiet(link.sock):
                     return False
-                self._write_stalling(link, data)
+                send_all(link.sock, data, lambda: self.scheduler.wait(link.fd, WRITE, clock() + STALL_NS))
         finally:
             self.passing -= 1
         now = clock()
@@ -611,15 +611,6 @@
         finally:
             self.passing -= 1
 
-    def _write_stalling(self, link: _Link, data: bytes) -> None:
-        """Write a piece of a long request, however slowly it is taken."""
-        view = memoryview(data)
-        while view:
-            try:
-                view = view[link.sock.send(view) :]
-            except BlockingIOError:
-                self.scheduler.wait(link.fd, WRITE, clock() + STALL_NS)
-
     def _may_begin(self, server: str, target: _Target) -> bool:
         """Look once more at the first byte: a connection takes time to come up, and the list may change.
 
@@ -676,13 +667,7 @@
             raise
 
     def _write(self, link: _Link, data: bytes, deadline: int) -> None:
-        sent = 0
-        while True:
-            with suppress(BlockingIOError):
-                sent += link.sock.send(data[sent:] if sent else data)
-            if sent == len(data):
-                return
-            self.scheduler.wait(link.fd, WRITE, deadline)
+        send_all(link.sock, data, lambda: self.scheduler.wait(link.fd, WRITE, deadline))
 
     def _read(self, link: _Link, deadline: int, hold_ns: int = 0) -> http.Message | None:
         """The next message; None where it is a long one, or after `hold_ns` one that does not tell its length."""
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -128,7 +128,7 @@
     path.write_text(json.dumps(told | {"admin_addr": "127.0.0.1:9"}))
     assert load({"NODE_CONFIG": str(path)}).admin == ("127.0.0.1", 9)
     assert load({"NODE_CONFIG": str(path), "NODE_ADMIN_ADDR": "[::1]:8"}).admin == ("::1", 8)
-    with pytest.raises(ConfigError):
+    with pytest.raises(ConfigError, match="NODE_ADMIN_ADDR"):
         load({"NODE_CONFIG": str(path), "NODE_ADMIN_ADDR": "nowhere"})
 
 
