--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -78,7 +78,7 @@
     sidecar.follow(config.discovery)
 
 
-def _serve(config: Config, woken: socket.socket) -> int:
+def _serve(config: Config, woken: socket.socket, trace: bool = False) -> int:
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft != resource.RLIM_INFINITY and soft < config.sockets:
         # The bounds on connections count on the descriptors that the configuration promises.
@@ -98,6 +98,7 @@
         keeper = Keeper(config.state, config.name, logger.warning, logger.info)
         learned = keeper.start(config.settings)
     sidecar = Sidecar(scheduler, config, learned)
+    sidecar.trace = trace
     front = HttpFront(scheduler, sidecar, config.listen, os.environ.get("TMPDIR", ""))
     door = Door(scheduler, config.admin, lambda: front.serving, sidecar.stats) if config.admin else None
 
@@ -166,7 +167,7 @@
     logger.add(
         log_to(sys.stderr.fileno()), level=chosen.log_level, format="{time:HH:mm:ss.SSS} {level} {message}"
     )
-    return _serve(config, woken)
+    return _serve(config, woken, chosen.log_level == "DEBUG")
 
 
 if __name__ == "__main__":
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -237,6 +237,9 @@
         self.ready = False  # can it serve: is there a service table?
         self.counts = Counts()
         self.figures = Figures(config.settings.classes)
+        self.trace = (
+            False  # a DEBUG line for each routed task and each answer, by call id (`--log-level DEBUG`)
+        )
         self.watching: Task | None = None
         self._revision: int | None = None
         self._told = False  # is what changed since that revision all that is missing here?
@@ -417,6 +420,12 @@
         else:
             self.counts.failed += 1
             figures.aborted[name] += 1
+        if self.trace:
+            logger.debug(
+                "call {} {} answered {} after {} routed tasks, {} ms before its end",
+                call_id, name, answer.ending.name, transaction.attempt + 1,
+                (transaction.give_up_ns - clock()) // mi.NS_PER_MS,
+            )  # fmt: skip
         transaction.deliver(answer)
         self._settle(transaction)
 
@@ -448,6 +457,11 @@
         if action.timeout_ns:
             deadline = min(deadline, now + action.timeout_ns)
         transaction.attempt += 1
+        if self.trace:
+            logger.debug(
+                "call {} attempt {} to {} within {} ms",
+                action.id, transaction.attempt, action.server, (deadline - now) // mi.NS_PER_MS,
+            )  # fmt: skip
         transaction.task = self.scheduler.spawn(
             "routed task", self._route, transaction, transaction.attempt, action.server, now, deadline
         )
@@ -489,6 +503,11 @@
         if transaction.begun:  # and could not be finished
             self._answer(transaction.id, Answer(Ending.FAILED, passed=True))
         final, latency = transaction.answered, clock() - began
+        if self.trace:
+            logger.debug(
+                "call {} attempt {} at {}: {} after {} ms{}",
+                transaction.id, number, server, outcome.name, latency // mi.NS_PER_MS, ", final" if final else "",
+            )  # fmt: skip
         self.feed(
             mi.AttemptEnded(transaction.id, number, server, outcome, final, latency, report, transaction.kept)
         )
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -352,3 +352,14 @@
         sock.settimeout(60)
         ends.append(sock.recv(100))
     assert ends.count(b"") > 15
+
+
+def test_staff_can_follow_a_call_id_through_its_routed_tasks_at_debug(stage: Stage) -> None:
+    stage.pool("s1", reject)
+    stage.pool("s2", reject)
+    program = stage.start()
+    assert program.ask("traced-1").head.status == 503
+    lines = [line for line in program.log.read_text().splitlines() if " call traced-1 " in line]
+    assert any("attempt 0 to s" in line for line in lines), lines
+    assert any("attempt 1 at s" in line and ": REJECTED after" in line for line in lines), lines
+    assert any("view answered SHORT after " in line for line in lines), lines
