--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -41,6 +41,7 @@
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nok\n"
 LOAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 25\r\n\r\nTEXT util=0.1, inflight=1"
 SERVE = ("serve", "--log-level", "WARNING")
+FLOOR = "floor"  # the name of benchmarks/passthrough.py's plays
 MOST_CONNECTIONS = 8000  # a bound on what one play opens
 
 
@@ -226,6 +227,7 @@
         """Start them; pool servers answer `work_ms` after a request is whole."""
         self.table = toy.Table()
         listeners = [socket.create_server((HOST, 0), backlog=1024) for _ in range(POOL)]
+        self.ports = [listener.getsockname()[1] for listener in listeners]
         for number, listener in enumerate(listeners):
             self.table.put(f"pool-{number + 1}", listener.getsockname()[1], "in_service")
         self.stop = multiprocessing.Event()
@@ -246,7 +248,14 @@
 
 
 def _daemon(
-    folder: Path, platform: Platform, core: int, sockets: int, memory_mb: int, logs: Path, profile: str | None
+    folder: Path,
+    platform: Platform,
+    core: int,
+    sockets: int,
+    memory_mb: int,
+    logs: Path,
+    profile: str | None,
+    floor: bool = False,
 ) -> tuple[subprocess.Popen, int]:
     with socket.create_server((HOST, 0)) as probe:
         port = probe.getsockname()[1]
@@ -260,8 +269,20 @@
     path = logs / f"config-{port}.json"
     path.write_text(json.dumps(config))
     log = open(logs / f"daemon-{port}.log", "w")  # noqa: SIM115 (it lives as long as the daemon)
+    profiled = ["-m", "cProfile", "-o", profile] if profile else []
+    command = [sys.executable, *profiled, "-m", "iristrack", *SERVE]
+    if floor:
+        pool = f"{HOST}:{platform.ports[0]}"
+        command = [
+            sys.executable,
+            *profiled,
+            str(ROOT / "benchmarks" / "passthrough.py"),
+            "--listen",
+            config["listen"],
+        ]
+        command += ["--pool", pool]
     process = subprocess.Popen(
-        [sys.executable, *(["-m", "cProfile", "-o", profile] if profile else []), "-m", "iristrack", *SERVE],
+        command,
         cwd=folder,
         env={k: v for k, v in os.environ.items() if k != "TMPDIR"}
         | {"NODE_CONFIG": str(path), "PYTHONPATH": str(folder)},
@@ -287,7 +308,14 @@
     from hdrh.histogram import HdrHistogram
 
     process, port = _daemon(
-        folder, platform, chosen.core, chosen.sockets, chosen.memory_mb, chosen.logs, chosen.profile
+        folder,
+        platform,
+        chosen.core,
+        chosen.sockets,
+        chosen.memory_mb,
+        chosen.logs,
+        chosen.profile,
+        revision == FLOOR,
     )
     try:
         generators = max(1, min(4, connections // 500))
@@ -357,6 +385,9 @@
     parser.add_argument("--warm", type=float, default=2.0, help="seconds before it (default 2)")
     parser.add_argument("--work-ms", type=float, default=2.0, help="how long a pool server takes (default 2)")
     parser.add_argument("--against", help="a second revision, played alternately with this checkout")
+    parser.add_argument(
+        "--floor", action="store_true", help="play the plain pass-through too (passthrough.py)"
+    )
     parser.add_argument("--runs", type=int, default=1, help="plays of each revision and size (default 1)")
     parser.add_argument("--core", type=int, default=0, help="the core of the daemon (default 0)")
     parser.add_argument(
@@ -384,7 +415,7 @@
     os.sched_setaffinity(0, others or {chosen.core})  # the load and the stand-ins keep off the daemon's core
     with tempfile.TemporaryDirectory(prefix="iristrack-cost-") as scratch:
         chosen.logs = Path(scratch)
-        revisions = [("this", ROOT)]
+        revisions = [("this", ROOT)] + ([(FLOOR, ROOT)] if chosen.floor else [])
         if chosen.against:
             other = Path(scratch) / "against"
             subprocess.run(
@@ -422,7 +453,7 @@
         if chosen.against:
             for connections in chosen.connections:
                 mine = [p for p in plays if p.connections == connections and p.revision == "this"]
-                theirs = [p for p in plays if p.connections == connections and p.revision != "this"]
+                theirs = [p for p in plays if p.connections == connections and p.revision == chosen.against]
                 cpu = sum(p.cpu_us for p in mine) / sum(p.cpu_us for p in theirs)
                 served = sum(p.per_s for p in mine) / sum(p.per_s for p in theirs)
                 print(
