--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -101,7 +101,15 @@
 
 
 def _load(
-    daemon: int, port: int, connections: int, rate: float, began: float, seconds: float, warm_s: float, pipe
+    daemon: int,
+    port: int,
+    connections: int,
+    rate: float,
+    began: float,
+    seconds: float,
+    warm_s: float,
+    close: bool,
+    pipe,
 ) -> None:
     """Open-loop load: each connection sends at its own intended times, one request out at a time.
 
@@ -118,9 +126,7 @@
     due: list[tuple[float, int]] = []  # the intended times of connections with nothing out
     out = 0
     for number in range(connections):
-        sock = socket.create_connection((HOST, port), timeout=5)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock = _connect(port)
         # [sock, next intended time, intended time of the one out (0 if none), buffer, number]
         entry = [sock, began + every * number / connections, 0.0, bytearray(), number]
         state.append(entry)
@@ -145,7 +151,8 @@
             request = (
                 f"GET /api/venue-{sequence % 64} HTTP/1.1\r\nHost: sidecar\r\n"
                 f"X-Call-Id: c{os.getpid()}-{sequence}\r\n"
-                "X-Call-Class: share-view\r\nX-Caller: northfield\r\nX-Budget: 1200m\r\n\r\n"
+                "X-Call-Class: share-view\r\nX-Caller: northfield\r\nX-Budget: 1200m\r\n"
+                f"{'Connection: close' if close else 'X-Odd: 1'}\r\n\r\n"
             ).encode()
             try:
                 entry[0].send(request)
@@ -187,6 +194,12 @@
                 answered += measured_from <= done < ends
                 entry[2] = 0.0
                 out -= 1
+                if close:  # a new connection for each request: its handshake and accept are part of the cost
+                    chosen.unregister(entry[0])
+                    entry[0].close()
+                    entry[0] = _connect(port)
+                    buffer.clear()
+                    chosen.register(entry[0], selectors.EVENT_READ, entry)
                 if entry[1] < ends:
                     heapq.heappush(due, (entry[1], entry[4]))
     for entry in state:
@@ -194,6 +207,13 @@
     pipe.send((statuses, histogram.encode(), answered, cpu[1] - cpu[0]))
 
 
+def _connect(port: int) -> socket.socket:
+    sock = socket.create_connection((HOST, port), timeout=5)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
 def _cpu_ns(pid: int) -> int:
     with open(f"/proc/{pid}/schedstat") as file:
         return int(file.read().split()[0])
@@ -334,6 +354,7 @@
                     began,
                     chosen.seconds,
                     chosen.warm,
+                    chosen.close,
                     theirs,
                 ),
             )
@@ -385,6 +406,7 @@
     parser.add_argument("--warm", type=float, default=2.0, help="seconds before it (default 2)")
     parser.add_argument("--work-ms", type=float, default=2.0, help="how long a pool server takes (default 2)")
     parser.add_argument("--against", help="a second revision, played alternately with this checkout")
+    parser.add_argument("--close", action="store_true", help="a new connection for each request")
     parser.add_argument(
         "--floor", action="store_true", help="play the plain pass-through too (passthrough.py)"
     )
