--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -21,6 +21,7 @@
 import multiprocessing
 import os
 import selectors
+import signal
 import socket
 import subprocess
 import sys
@@ -45,8 +46,27 @@
 MOST_CONNECTIONS = 8000  # a bound on what one play opens
 
 
+def _take(buffer: bytearray) -> bytes | None:
+    """The lower-cased head of the next whole message in `buffer`, which loses it; None until one is whole.
+
+    The stand-ins' own framing, for the messages that they and the daemon send: a head and a `Content-Length` body.
+    """
+    end = buffer.find(b"\r\n\r\n")
+    if end < 0:
+        return None
+    head = bytes(buffer[:end]).lower()
+    length = 0
+    if (at := head.find(b"content-length:")) >= 0:
+        length = int(head[at + 15 :].split(b"\r\n", 1)[0])
+    if len(buffer) < end + 4 + length:
+        return None
+    del buffer[: end + 4 + length]
+    return head
+
+
 def _pool(listeners: list[socket.socket], work_s: float, stop: multiprocessing.synchronize.Event) -> None:
     """Pool servers in one process: each request is answered `work_s` after it is whole; probes at once."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # Ctrl-C is the parent's to handle: it ends this by `stop`
     chosen = selectors.DefaultSelector()
     for listener in listeners:
         listener.setblocking(False)
@@ -79,14 +99,7 @@
                 continue
             buffer = buffers[sock]
             buffer += data
-            while (end := buffer.find(b"\r\n\r\n")) >= 0:
-                head = bytes(buffer[:end]).lower()
-                length = 0
-                if (at := head.find(b"content-length:")) >= 0:
-                    length = int(head[at + 15 :].split(b"\r\n", 1)[0])
-                if len(buffer) < end + 4 + length:
-                    break
-                del buffer[: end + 4 + length]
+            while (head := _take(buffer)) is not None:
                 probe = head.startswith((b"get /_load", b"get /ping"))
                 order += 1
                 heapq.heappush(
@@ -118,6 +131,7 @@
     """
     from hdrh.histogram import HdrHistogram
 
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # Ctrl-C is the parent's to handle: it terminates this
     histogram = HdrHistogram(1, 60_000_000, 3)
     chosen = selectors.DefaultSelector()
     every = connections / rate
@@ -178,14 +192,7 @@
                 continue
             buffer = entry[3]
             buffer += data
-            while (end := buffer.find(b"\r\n\r\n")) >= 0:
-                head = bytes(buffer[:end]).lower()
-                length = 0
-                if (at := head.find(b"content-length:")) >= 0:
-                    length = int(head[at + 15 :].split(b"\r\n", 1)[0])
-                if len(buffer) < end + 4 + length:
-                    break
-                del buffer[: end + 4 + length]
+            while (head := _take(buffer)) is not None:
                 done = time.monotonic()
                 status = int(head[9:12])
                 if measured_from <= entry[2] < ends:
@@ -337,10 +344,11 @@
         chosen.profile,
         revision == FLOOR,
     )
+    pipes: list = []
+    loads: list[multiprocessing.Process] = []
     try:
         generators = max(1, min(4, connections // 500))
         began = time.monotonic() + 0.5 + connections / 1000  # time to connect
-        pipes, loads = [], []
         for number in range(generators):
             share = connections // generators + (number < connections % generators)
             mine, theirs = multiprocessing.Pipe(duplex=False)
@@ -373,6 +381,9 @@
             for status, count in counted.items():
                 statuses[status] = statuses.get(status, 0) + count
     finally:
+        for load in loads:
+            if load.is_alive():
+                load.terminate()
         process.terminate()
         try:
             process.wait(10)
@@ -440,10 +451,10 @@
         revisions = [("this", ROOT)] + ([(FLOOR, ROOT)] if chosen.floor else [])
         if chosen.against:
             other = Path(scratch) / "against"
-            subprocess.run(
-                ["git", "-C", str(ROOT), "worktree", "add", "-q", "--detach", str(other), chosen.against],
-                check=True,
-            )
+            adding = ["git", "-C", str(ROOT), "worktree", "add", "-q", "--detach", str(other), chosen.against]
+            if subprocess.run(adding, capture_output=True, check=False).returncode:
+                print(f"cost: {chosen.against!r} is no revision of this repository", file=sys.stderr)
+                return 2
             revisions.append((chosen.against, other))
         platform = Platform(chosen.work_ms)
         plays: list[Play] = []
--- a/benchmarks/passthrough.py
+++ b/benchmarks/passthrough.py
@@ -95,7 +95,8 @@
         scheduler.spawn("client", _client, scheduler, sock, pool)
 
     scheduler.watch(listener.fileno(), accept)
-    signal.signal(signal.SIGTERM, lambda *_: scheduler.stop())
+    for number in (signal.SIGTERM, signal.SIGINT):  # either ends it within the loop's longest wait, 1 s
+        signal.signal(number, lambda *_: scheduler.stop())
     scheduler.run()
     return 0
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -12,15 +12,14 @@
 import signal
 import subprocess
 import sys
+from contextlib import suppress
 
 from stage import ROOT, SETTINGS, Stage, Terminal, call, free_port, until
 
-MOST_CALLS = (
-    380  # a keep-alive GET, all that the daemon does for it: 367 in 2026-12, 390 before; docs/performance.md
-)
-RARE_TICKS_NS = (
-    10**9
-)  # the module's ticks come with time, not with transactions: few, so that a slow machine counts alike
+# A keep-alive GET, all that the daemon does for it: 367 in 2026-12, 390 before; docs/performance.md.
+MOST_CALLS = 380
+# The module's ticks come with time, not with transactions: few of them, so that a slow machine counts alike.
+RARE_TICKS_NS = 10**9
 WARM = 40
 MEASURED = 300
 
@@ -65,14 +64,17 @@
             [sys.executable, "-c", _COUNTING], cwd=ROOT,
             env=os.environ | {"NODE_CONFIG": str(path), "TMPDIR": ""}, stdout=out, stderr=out,
         )  # fmt: skip
+    terminals: list[Terminal] = []
+
+    def connected() -> bool:
+        assert process.poll() is None, log.read_text()
+        with suppress(OSError):
+            terminals.append(Terminal(port))
+        return bool(terminals)
+
     try:
-        terminal = None
-        while terminal is None:
-            until(lambda: process.poll() is None)
-            try:
-                terminal = Terminal(port)
-            except OSError:
-                continue
+        until(connected)
+        terminal = terminals[0]
         for number in range(WARM):
             assert terminal.exchange(call(f"w{number}")).head.status == 200
         process.send_signal(signal.SIGUSR1)
