Bound what a pool server holds by its reports, and let cold ones earn by answers

Cause: four sidecars together fill a server until it chokes, and none sees the others (docs/limits-design.md); a cold server's budget stays at the contract's worst case whatever it answers. Change: iristrack/limits/ (crowd.py, cold.py), asked by the module; the test of cold servers now has servers that answer no faster than the contract promises.

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -13,6 +13,8 @@
 from collections import deque
 
 from iristrack import interface as mi
+from iristrack.limits.cold import ColdBudget
+from iristrack.limits.crowd import Crowd
 from iristrack.records import (
     BROKE,
     DID_NOT_RUN,
@@ -34,6 +36,7 @@
 TARGET = 0.5  # most of its aim that an answer should take on average: leaves as much again for its spread
 CROWDED = 2.0  # and most of what a crowd can slow: there as many requests wait as are worked on
 START_HELD = 12.0  # first guess of how many requests a server can hold, from all balancers
+HELD_BY_ALL = 6.0  # and so many are let in where its reports tell of all of them
 UNCROWDED = 1.3  # below so many times its uncrowded latency a class is taken to be uncrowded
 BASE_WINDOW = 64  # answers whose mean counts as one look at a class's latency
 ONE_LOOK = 32  # answers that make a look at the fleet's pace
@@ -100,8 +103,8 @@
 
 class _Server:
     __slots__ = (
-        "by_class", "cell", "down", "failed_connects", "hash", "id", "inflight", "last_ok", "ready", "room",
-        "silent", "started", "token_at", "tokens", "warm_at", "weight", "whole", "zone",
+        "budget", "by_class", "cell", "crowd", "down", "failed_connects", "hash", "id", "inflight", "last_ok",
+        "ready", "room", "silent", "started", "warm_at", "weight", "whole", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: mi.ServerEntry, room: _Room) -> None:
@@ -116,7 +119,7 @@
         self.inflight += by
         self.room.inflight += by * in_room
 
-    def forget(self, tokens: float) -> None:
+    def forget(self, tokens: float, wait_ns: float) -> None:
         """Start afresh, as for a process that just started."""
         if self.room.servers == 1:
             self.room.limit, self.room.rest_until = self.room.start, 0
@@ -124,9 +127,8 @@
         self.whole = _Suspicion()
         self.by_class: dict[str, _Suspicion] = {}
         self.silent = self.failed_connects = self.last_ok = 0
-        # A part of a token, at random: a whole one would let a thousand balancers at a cold server at once.
-        self.tokens = tokens
-        self.token_at = 0
+        self.budget = ColdBudget(tokens)
+        self.crowd = Crowd(HELD_BY_ALL * self.weight, wait_ns)
 
     @property
     def ejected(self) -> bool:
@@ -148,7 +150,7 @@
         self.random = random.Random(seed)
         self.classes = {c.name: _Class(c, TARGET, FEWEST_FAULTY) for c in settings.classes}
         aims = [c.aim_ns for c in settings.classes] or [mi.NS_PER_S]
-        self.longest_aim = max(aims)
+        self.longest_aim, self.shortest_aim = max(aims), min(aims)
         self.tick_ns = max(settings.resolution_ns, min(aims) // TICKS_PER_AIM)
         self.start_limit = START_HELD / settings.balancers
         # Guards against very many balancers: where each has less than one request at a server, none learns
@@ -249,8 +251,9 @@
             if server is None:
                 server = _Server(entry, self.shared or _Room(self.start_limit))
                 self.servers[entry.server] = server
+            server.weight = max(entry.weight, 0.01) if self.settings.sized_weights else 1.0
             if entry.started_ns != server.started:
-                server.forget(self.random.random())
+                server.forget(self.random.random(), TARGET * self.shortest_aim)
                 server.started = entry.started_ns
                 known = self.known.get(entry.server)
                 if known is not None and known["started"] == entry.started_ns:
@@ -258,7 +261,6 @@
             server.ready = entry.state is mi.ServerState.READY
             server.zone = entry.zone
             server.cell = entry.cell
-            server.weight = max(entry.weight, 0.01) if self.settings.sized_weights else 1.0
             cold_ns = self.settings.contract.cold_ns
             server.warm_at = entry.started_ns + cold_ns if entry.started_ns and cold_ns else 0
         if event.kind is mi.ListKind.FULL:
@@ -345,24 +347,18 @@
         return best
 
     def _has_room(self, now: int, server: _Server) -> bool:
-        if server.room.full(now):
+        # Guards a server against the crowd that all balancers together make, where its reports tell of it.
+        if server.room.full(now) or server.crowd.full(now, server.inflight):
             return False
         if now >= server.warm_at:
             return True
         # Guards a cold server against all balancers together: each keeps its own sends to the share of a warm
-        # server's load that the contract grants at this age; so does the sum, however uneven they are.
-        contract = self.settings.contract
-        age = max(0, now - server.started)
-        share = contract.cold_share + (1 - contract.cold_share) * min(1.0, age / contract.cold_ns)
+        # server's load that the contract grants at this age, and to what the server has answered it since.
         rate = self.warm_rate
         if rate is None:
             seconds = max(1.0, (now - self.started_at) / mi.NS_PER_S)
             rate = self.arrivals / seconds / max(1.0, sum(s.weight for s in self.ready))
-        rate *= share * server.weight * contract.overload_factor / 3
-        elapsed = (now - server.token_at) / mi.NS_PER_S if server.token_at else 0.0
-        server.tokens = min(max(1.0, rate / 2), server.tokens + elapsed * rate)
-        server.token_at = now
-        return server.tokens >= 1.0
+        return server.budget.allows(now, rate * server.weight, server.started, self.settings.contract)
 
     def _may_send(self, now: int, request: _Open, server: _Server, again: bool = False) -> bool:
         """Rule 2, and no server twice but `again`: may this server get it after its earlier attempts?"""
@@ -480,7 +476,7 @@
         for ejection in server.ejections(request.cls.spec.name):
             ejection.out_until = now + ejection.backoff  # one trial at a time
         if now < server.warm_at:
-            server.tokens -= 1.0
+            server.budget.spend()
         server.count(1)
         attempt = _Attempt(server, now)
         request.attempts.append(attempt)
@@ -564,6 +560,8 @@
         if attempt is None:
             return
         outcome, server, room = event.outcome, attempt.server, attempt.server.room
+        if attempt.sent > server.started:  # else it tells of the process before
+            server.crowd.told(now, event.report, now - attempt.sent)
         if room.limit < 1:
             # Guards against many balancers that each keep just one request at a server and jam it together.
             room.rest_until = now + int((now - attempt.sent) * (1 / room.limit - 1))
@@ -629,6 +627,8 @@
             server.by_class[cls.spec.name].errors *= ERROR_FADE
         if now >= server.warm_at:
             self.warm_answers += 1
+        elif attempt.sent > server.started:
+            server.budget.answered(now)
         self._adapt(now, server, cls, latency)
         for ejection in ejections:
             ejection.needed -= 1
@@ -704,6 +704,7 @@
             crowded = max(UNCROWDED * cls.base, CROWDED * cls.base - (CROWDED - 1) * cls.low)
             target = min(target, crowded * self.slowdown)
             if cls.base < cls.spec.aim_ns:
+                server.crowd.answered(now, latency / cls.base, server.inflight)
                 self.judged += 1
                 self.slowness += latency / cls.base
                 self.busy_ns += latency
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,169 @@
+"""What a pool server bears: reports that are late, wrong or lying, and budgets that nobody else needs to hear of."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from driver import MS, Host, settings
+from hypothesis import given
+from hypothesis import strategies as st
+
+from iristrack.interface import NS_PER_S, AttemptEnded, Contract, ListKind, Outcome
+from iristrack.limits.cold import ColdBudget
+from iristrack.limits.crowd import FADES_NS, MOST_TOLD, TRUSTED_NS, Crowd, figures
+
+REPORT = {"qps": 40.0, "latency_ms": 100.0, "queue": 2.0, "eps": 0.0}  # six in hand
+
+
+def told(crowd: Crowd, now: int, took: int = 0, **changes: float) -> Crowd:
+    """Forty answers within four seconds, the last one at `now`, each after `took` ns."""
+    for i in range(40):
+        crowd.told(now - (39 - i) * 100 * MS, REPORT | changes, took)
+    return crowd
+
+
+def test_what_others_hold_is_what_the_server_holds_less_our_own() -> None:
+    steady = {"qps": 60.0, "queue": 0.0}
+    alone, among = told(Crowd(6, NS_PER_S), 0, **steady), told(Crowd(6, NS_PER_S), 0, 200 * MS, **steady)
+    assert alone.others_at(0) == pytest.approx(6, abs=0.2)
+    assert among.others_at(0) == pytest.approx(4, abs=0.3)  # ten answers a second, each after 0.2 s
+    assert among.full(0, 3) and not among.full(0, 1)
+
+
+def test_many_answers_with_one_report_count_no_more_than_one() -> None:
+    crowd = told(Crowd(6, NS_PER_S), 0, queue=0.0, latency_ms=25.0)
+    for i in range(100):
+        crowd.told(i * MS // 10, REPORT | {"latency_ms": 900.0}, 0)  # a heavy request has just ended there
+    assert crowd.others_at(10 * MS) < 1.5
+
+
+def test_a_waiting_room_that_fills_lowers_the_bound() -> None:
+    assert told(Crowd(6, NS_PER_S), 0, queue=0.0).bound == 6
+    assert told(Crowd(6, NS_PER_S), 0, queue=2.0).bound < 3
+
+
+@pytest.mark.parametrize(
+    "report",
+    [
+        None, {}, {"util": 0.5}, REPORT | {"qps": math.nan}, REPORT | {"queue": math.inf},
+        REPORT | {"queue": -1.0}, REPORT | {"latency_ms": 0.0}, REPORT | {"qps": -5.0},
+    ],
+)  # fmt: skip
+def test_a_report_that_cannot_tell_changes_nothing(report: dict | None) -> None:
+    crowd = Crowd(6, NS_PER_S)
+    assert not crowd.told(0, report, 0) and not crowd.full(0, 100)
+    before = told(crowd, 0).others
+    assert not crowd.told(5, report, MS) and crowd.others == before
+
+
+def test_a_lie_of_a_great_crowd_leaves_one_request_and_an_old_one_is_forgotten() -> None:
+    crowd = told(Crowd(6, NS_PER_S), 0, queue=1e300)
+    assert crowd.others <= MOST_TOLD
+    assert not crowd.full(0, 0) and crowd.full(0, 1)
+    assert crowd.full(TRUSTED_NS, 1)
+    assert not crowd.full(TRUSTED_NS + FADES_NS, 1)
+
+
+def test_a_slow_server_may_hold_what_it_answers_in_time() -> None:
+    slow = told(Crowd(6, NS_PER_S // 4), 0, qps=4.0, latency_ms=400.0, queue=0.0)
+    fast = told(Crowd(6, NS_PER_S // 4), 0, qps=40.0, latency_ms=40.0, queue=0.0)
+    assert slow.bound < 2 < 5 < fast.bound
+    fast.told(MS, REPORT | {"latency_ms": 400.0, "queue": 0.0}, MS)  # one heavy answer does not make it slow
+    assert fast.bound > 5
+
+
+def test_a_large_server_comes_to_hold_more_while_it_answers_as_if_uncrowded() -> None:
+    crowd = Crowd(6, NS_PER_S)
+    crowd.answered(0, 1.0, 6)
+    assert crowd.most == 6  # it has told nothing so far
+    told(crowd, 0, qps=400.0, queue=0.0)
+    for _ in range(400):
+        crowd.answered(0, 1.0, 40)
+    assert crowd.bound > 10
+    for _ in range(400):
+        crowd.answered(0, 3.0, 60)
+    assert crowd.most == crowd.least
+
+
+@given(
+    st.lists(st.tuples(st.floats(allow_nan=True), st.floats(allow_nan=True), st.floats()), max_size=30),
+    st.integers(0, 50),
+)
+def test_no_row_of_reports_starves_a_server_or_breaks_the_estimate(rows: list, own: int) -> None:
+    crowd = Crowd(6, NS_PER_S // 4)
+    for i, (qps, latency_ms, queue) in enumerate(rows):
+        crowd.told(i * MS, {"qps": qps, "latency_ms": latency_ms, "queue": queue}, own * MS)
+        found = figures({"qps": qps, "latency_ms": latency_ms, "queue": queue})
+        assert found is None or all(0 <= x <= MOST_TOLD for x in found)
+    assert 0 <= crowd.others_at(len(rows) * MS) <= MOST_TOLD
+    assert not crowd.full(len(rows) * MS, 0)
+
+
+# ---- cold servers
+
+
+WARM_RATE = 200.0
+CONTRACT = Contract(cold_share=0.12, cold_ns=24 * NS_PER_S, overload_factor=3.0, fall_ns=NS_PER_S)
+
+
+def able(share: float, now: int) -> float:
+    """Requests a second of a server that starts at `share` and warms as slowly as the contract lets it."""
+    return WARM_RATE * max(share, CONTRACT.cold_share + (1 - CONTRACT.cold_share) * now / CONTRACT.cold_ns)
+
+
+def flood(sidecars: list[ColdBudget], share: float) -> list[int]:
+    """All send whenever they may; the server answers what it can, in turn. When each send was made."""
+    sends, queue, done = [], [], 0.0
+    for now in range(5 * MS, 8 * NS_PER_S, 5 * MS):
+        for budget in sidecars:
+            if budget.allows(now, WARM_RATE / len(sidecars), 1, CONTRACT):
+                budget.spend()
+                sends.append(now)
+                queue.append(budget)
+        done = min(done + able(share, now) / 200, 1.0 + len(queue))
+        while queue and done >= 1:
+            done -= 1
+            queue.pop(0).answered(now)
+    return sends
+
+
+@pytest.mark.parametrize("number", [1, 4, 16])
+@pytest.mark.parametrize("share", [0.12, 0.35])
+def test_all_together_stay_under_the_contract_whatever_the_server_can_do(number: int, share: float) -> None:
+    sends = flood([ColdBudget(i / number) for i in range(number)], share)
+    for start in range(0, 7 * NS_PER_S, NS_PER_S // 4):
+        arrived = sum(start <= at < start + NS_PER_S for at in sends)
+        assert arrived <= 0.9 * CONTRACT.overload_factor * able(share, start)
+
+
+def test_a_server_that_proves_to_be_able_to_more_is_sent_more() -> None:
+    weak, strong = (flood([ColdBudget(i / 4) for i in range(4)], share) for share in (0.12, 0.5))
+    early = [sum(at < 3 * NS_PER_S for at in sends) for sends in (weak, strong)]
+    assert early[1] > 1.25 * early[0]
+
+
+def test_answers_of_the_process_before_and_others_reports_of_it_earn_nothing() -> None:
+    host = Host(settings(report_fields=("eps", "latency_ms", "qps", "queue")), servers=2)
+    old = [host.ask(key=f"k{i}") for i in range(4)]
+    host.wait(MS)
+    host.list([host.entry(i, started_ns=host.now) for i in range(2)], ListKind.FULL)
+    for request in old:
+        server = host.attempts[request][0]
+        host.do(AttemptEnded(request, 0, server, Outcome.OK, True, MS, REPORT))
+    for server in host.balancer.servers.values():
+        assert server.budget.answers == 0 and server.crowd.at is None
+
+
+def test_sidecars_that_see_little_keep_off_a_server_that_tells_of_a_crowd() -> None:
+    """Without the reports this one would send all three: its own limit there is three at the least."""
+    host = Host(settings(report_fields=("eps", "latency_ms", "qps", "queue")), servers=1)
+    for _ in range(300):
+        request = host.ask()
+        host.wait(10 * MS)
+        host.do(AttemptEnded(request, 0, "s0", Outcome.OK, True, 10 * MS, REPORT))
+    sent = [host.ask(key=f"k{i}") for i in range(3)]
+    assert [request in host.attempts for request in sent] == [True, False, False]
+    host.wait(TRUSTED_NS + FADES_NS)  # nothing more is heard: the crowd is forgotten
+    later = [host.ask(key=f"k{i}") for i in range(2)]
+    assert later[0] in host.attempts
