--- a/iristrack/limits/cold.py
+++ b/iristrack/limits/cold.py
@@ -16,8 +16,8 @@
 from iristrack.interface import Contract
 
 NS_PER_S = 1_000_000_000
-FACTOR = 3.0  # at a contract with this factor we send at the floor what it promises, at a lower one less
-EARNED = 1.0  # sends that an answer earns; less than the contract's factor less one
+FACTOR = 4.0  # at a contract with this factor the floor is what it promises, at a lower one less
+EARNED = 1.25  # sends that an answer earns; less than the contract's factor less one
 MEMORY_NS = NS_PER_S  # answers count for about so long
 
 
