Play choking servers and late reports in the emulator, and ask discovery again out of step

Need: the emulator's servers could not choke, its reports told no qps, latency_ms or eps and came at once, its asked discovery answered all at once. Cause of the second change, read in the code: the module asked a failed discovery again after exactly 1 s, at every sidecar whose call had failed at the same moment; now after 0.5 to 1.5 s by its seed.

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -239,7 +239,8 @@
     def _on_list(self, now: int, event: mi.ServerList) -> None:
         if event.kind is mi.ListKind.FAILED:
             if self.settings.ask_for_list:
-                self.actions.append(mi.SetTimer(ASK_AGAIN, mi.NS_PER_S))
+                # Out of step: calls of a fleet that failed together would fail together again.
+                self.actions.append(mi.SetTimer(ASK_AGAIN, int(mi.NS_PER_S * (0.5 + self.random.random()))))
             return
         if event.kind is not mi.ListKind.DELTA:
             named = {entry.server for entry in event.servers}
@@ -352,8 +353,7 @@
             return False
         if now >= server.warm_at:
             return True
-        # Guards a cold server against all balancers together: each keeps its own sends to the share of a warm
-        # server's load that the contract grants at this age, and to what the server has answered it since.
+        # Guards a cold server against all balancers together: see limits/cold.py.
         rate = self.warm_rate
         if rate is None:
             seconds = max(1.0, (now - self.started_at) / mi.NS_PER_S)
--- a/iristrack/emulator/figures.py
+++ b/iristrack/emulator/figures.py
@@ -166,6 +166,7 @@
     row["links_per_server"] = mean_links / max(1, len(world.order))
     row["most_links"] = max((m.state.most_open for m in machines), default=0)
     row["most_held"] = max((m.state.most_held for m in machines), default=0)
+    row["chokes"] = sum(m.state.chokes for m in machines)
     row["fell"] = sum(m.state.fell for m in machines)
     warm = [m.state.busy_ns / max(1, m.state.slots) for m in machines]
     row["busy_cv"] = float(np.std(warm) / np.mean(warm)) if warm and np.mean(warm) else 0.0
--- a/iristrack/emulator/scenario.py
+++ b/iristrack/emulator/scenario.py
@@ -58,6 +58,12 @@
     queue_per_core: Range = 16.0  # places in the waiting room
     crowd_from_per_core: Range = 1e9  # held requests beyond which all work gets dearer,
     crowd_cost: Range = 0.0  # by this share for each
+    choke_from_per_core: Range = 1e9  # held requests beyond which, for so long without a pause,
+    choke_after_s: Range = 2.0
+    choke_slower: Range = 1.0  # a machine turns so many times slower, and stays so
+    choke_below_per_core: Range = 0.3  # until it has held no more than this
+    choke_rest_s: Range = 3.0  # for so long,
+    choke_most_s: Range = 20.0  # or until this long has passed
     cold_share: Range = 1.0  # of its capacity that a machine has at its start,
     cold_s: Range = 0.0  # and after how long it has all of it
     pause_every_s: Range = 0.0  # mean time between stops of all work (garbage collection); 0: never
@@ -92,7 +98,7 @@
     """Load reports: late and noisy."""
 
     how: Literal["none", "probe", "answers"] = "none"
-    fields: list[Literal["util", "inflight", "queue"]] = msgspec.field(
+    fields: list[Literal["util", "inflight", "queue", "eps", "latency_ms", "qps"]] = msgspec.field(
         default_factory=lambda: ["util", "inflight"]
     )
     period_ms: Range = 100.0
@@ -130,6 +136,7 @@
     add_s: Range = 1.0  # after one started or began to drain
     spread_s: Range = 0.3  # and up to so much later at some sidecars than at others
     call_ms: Range = 5.0
+    calls_per_s: Range = 0.0  # it handles calls in turn, at this pace; 0: all at once
     timeout_s: Range = 2.0
 
 
--- a/iristrack/emulator/server.py
+++ b/iristrack/emulator/server.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from contextlib import suppress
 from heapq import heapify, heappop, heappush
@@ -18,12 +19,14 @@
 MOST_REPEATS = 1 << 17  # keyed requests that a group remembers
 QUEUED, WORKING, DONE = range(3)
 SERVED, FAULTY, TURNED_AWAY = range(3)  # how a job ends
+TOLD_NS = 1_000_000_000  # what a report tells of rates and times is the mean of about so long
 
 
 class Job:
     """A request in a pool server's hands."""
 
     __slots__ = (
+        "begun",
         "call",
         "ends",
         "key",
@@ -50,7 +53,7 @@
         self.keyed = keyed
         self.useless_at = useless_at
         self.state = QUEUED
-        self.ends = 0
+        self.begun = self.ends = 0
         self.rate = 1.0
         self.spent = 0  # slot time that it takes
         self.verdict = SERVED
@@ -98,6 +101,10 @@
         self.speed = own.speed
         self.crowd_from = float(model.crowd_from_per_core) * model.cores
         self.crowd_cost = float(model.crowd_cost)
+        self.choke_from = float(model.choke_from_per_core) * model.cores
+        self.choke_after, self.choke_slower = ns(float(model.choke_after_s)), float(model.choke_slower)
+        self.choke_below = float(model.choke_below_per_core) * model.cores
+        self.choke_rest, self.choke_most = ns(float(model.choke_rest_s)), ns(float(model.choke_most_s))
         self.cold_share, self.cold_ns = float(model.cold_share), ns(float(model.cold_s))
         self.pause_every = float(model.pause_every_s) * 1e9
         self.pause_ns, self.pause_grow = float(model.pause_ms) * 1e6, float(model.pause_grow)
@@ -126,7 +133,14 @@
         self.paused_until = 0
         self.next_pause = self._draw_pause(0) if self.pause_every else NEVER
         self.pressure, self.pressure_at = 0.0, 0
+        self.choked, self.choked_at = False, 0
+        self.over_since = self.calm_since = NEVER
+        self.ended = self.ended_wrong = self.ended_ns = (
+            0.0  # of late, fading: jobs, failures among them, their time
+        )
+        self.ended_at = 0
         # what is counted
+        self.chokes = 0
         self.busy_ns = 0.0  # slot time spent
         self.useful_ns = 0.0  # of it, on answers that were made
         self.served = self.turned_away = self.errors = self.dropped_repeats = self.most_held = 0
@@ -171,8 +185,48 @@
             "util": min(1.0, max(0.0, self.working / self.slots * blur)),
             "inflight": max(0.0, round(self.held * blur)),
             "queue": max(0.0, round(len(self.queue) * blur)),
+            **self._rates(now, blur),
         }
 
+    def _rates(self, now: int, blur: float) -> dict[str, float]:
+        """Requests and errors a second, and the mean service time without waiting (ms), of the last second or so."""
+        self._fade(now)
+        return {
+            "qps": max(0.0, self.ended * 1e9 / TOLD_NS * blur),
+            "eps": max(0.0, self.ended_wrong * 1e9 / TOLD_NS * blur),
+            "latency_ms": max(0.0, self.ended_ns / self.ended / 1e6 * blur) if self.ended > 1e-6 else 0.0,
+        }
+
+    def _fade(self, now: int) -> None:
+        left = math.exp((self.ended_at - now) / TOLD_NS)
+        self.ended, self.ended_wrong, self.ended_ns = (
+            self.ended * left, self.ended_wrong * left, self.ended_ns * left,
+        )  # fmt: skip
+        self.ended_at = now
+
+    # ---- choking
+
+    def _watch_crowd(self, now: int) -> None:
+        """Has it been overdriven for too long, or rested for long enough?"""
+        held = self.working + len(self.queue)
+        if self.choked:
+            rested = self.calm_since + self.choke_rest <= now
+            if rested or now >= self.choked_at + self.choke_most:
+                self.choked, self.calm_since = False, NEVER
+                self._stretch(now, 1 / self.choke_slower)
+            elif held > self.choke_below:
+                self.calm_since = NEVER
+            elif self.calm_since == NEVER:
+                self.calm_since = now
+        elif held <= self.choke_from:
+            self.over_since = NEVER
+        elif self.over_since == NEVER:
+            self.over_since = now
+        elif self.over_since + self.choke_after <= now:
+            self.choked, self.choked_at, self.over_since = True, now, NEVER
+            self.chokes += 1
+            self._stretch(now, self.choke_slower)
+
     # ---- connections
 
     def accept(self, now: int) -> bool:
@@ -201,6 +255,8 @@
         """Take a request, or turn it away unseen (false)."""
         if self.next_pause <= now:
             self._pause(now)
+        if self.choke_slower > 1:
+            self._watch_crowd(now)
         if self.started and now < self.started + self.cold_ns and self._falls(now, job.work):
             return False
         if self.draining or self.fell:
@@ -240,6 +296,8 @@
             if met is not None and now - met < self.key_span:
                 work *= 1 - self.gain
         rate = self.speed / self.slow
+        if self.choked:
+            rate /= self.choke_slower
         if self.started and now < self.started + self.cold_ns:
             rate *= self.warmth(now)
         working = self.working + 1
@@ -256,6 +314,7 @@
         begun = now if now > self.paused_until else self.paused_until
         lasts = int(work / rate)
         job.state = WORKING
+        job.begun = now
         job.rate = rate
         job.ends = begun + lasts
         job.spent = lasts
@@ -287,18 +346,24 @@
             self._finish(ends, job)
             if self.queue:
                 self._fill(ends)
+            if self.choke_slower > 1:
+                self._watch_crowd(ends)
         done, self.done = self.done, []
         return done
 
     def _finish(self, now: int, job: Job) -> None:
         self.working -= 1
         job.state = DONE
+        self._fade(now)
+        self.ended += 1
+        self.ended_ns += now - job.begun
         fails = self.error_rate
         if self.fails:
             fails = max(fails, self.fails.get(-1, 0.0), self.fails.get(job.kind, 0.0))
         if fails and self.draws.uniform() < fails:
             job.verdict = FAULTY
             self.errors += 1
+            self.ended_wrong += 1
         else:
             self.served += 1
         if job.keyed and (memory := self.groups[job.kind]) is not None:
@@ -361,6 +426,10 @@
         """From now on all work takes so many times as long, also what is left of that in service."""
         factor = times / self.slow
         self.slow = times
+        self._stretch(now, factor)
+
+    def _stretch(self, now: int, factor: float) -> None:
+        """What is in service takes so many times as long from now on."""
         moved = []
         for ends, sequence, job in self.heap:
             if job.state == WORKING:
@@ -393,4 +462,6 @@
         self.started = now
         self.paused_until = 0
         self.pressure, self.pressure_at = 0.0, now
+        self.choked, self.over_since, self.calm_since = False, NEVER, NEVER
+        self.ended = self.ended_wrong = self.ended_ns = 0.0
         self.next_pause = self._draw_pause(now) if self.pause_every else NEVER
--- a/iristrack/emulator/sidecar.py
+++ b/iristrack/emulator/sidecar.py
@@ -430,7 +430,7 @@
             world.to_terminal(taken.ask, request, "served", 0)
         report = None
         if self.reports_in_answers and attempt.job is not None:
-            report = world.report(link.machine)
+            report = world.late_report(link.machine)
         attempt.job = None  # no cycle is left behind
         final = taken.answered
         self.feed(
--- a/iristrack/emulator/world.py
+++ b/iristrack/emulator/world.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -22,6 +23,7 @@
 
 SAMPLE_NS = mi.NS_PER_S
 MOST_NOTES = 1000
+MOST_REPORTS = 64  # that are on their way from one machine
 STALE_BY_NS = 10 * mi.NS_PER_S  # how old the table is that a lying discovery tells
 GREY_WORK = 0.05  # of a request's work that a grey server spends before it fails it
 Maker = Callable[["World", int, int], Module]  # world, sidecar's number, seed
@@ -37,7 +39,6 @@
         "id",
         "links",
         "reported",
-        "reported_at",
         "state",
         "successor",
         "world",
@@ -52,8 +53,7 @@
         self.successor: Machine | None = None  # who has its address now
         self.fell_told = False
         self.grey = 0.0
-        self.reported: dict[str, float] = {}
-        self.reported_at = -NEVER
+        self.reported: deque[tuple[int, dict[str, float]]] = deque(maxlen=MOST_REPORTS)
 
     def arrive(self, job: Job) -> bool:
         """A request is here; false if it is turned away."""
@@ -168,6 +168,7 @@
             Sidecar(self, i, own.site, partial(make, self, i)) for i, own in enumerate(plan.sidecars)
         ]
         self.terminals = Terminals(self, self.source)
+        self._calls_until = 0  # when discovery will have handled the calls that wait
         self.saves = False  # do sidecars keep what they learn, once a second and at a planned end?
         self.returns: list[tuple[int, int]] = []  # when which sidecar came back
         self.skew = 0  # what clock steps add to the stamps of machines that start
@@ -241,8 +242,16 @@
         """A call to discovery: the whole list, or a failure after its time-out."""
         d = self.plan.scenario.discovery
         now = self.queue.now
-        wait = ns(float(d.timeout_s)) if self.discovery.down else ns(float(d.call_ms) / 1e3)
-        self.queue.at(now + wait, DISCOVERY, self._list_answer, sidecar, sidecar.life, self.discovery.down)
+        wait, failed = ns(float(d.call_ms) / 1e3), self.discovery.down
+        if (
+            float(d.calls_per_s) and not failed
+        ):  # calls are handled in turn; who has waited too long is told so
+            self._calls_until = max(now, self._calls_until) + int(1e9 / float(d.calls_per_s))
+            wait += self._calls_until - now
+            failed = wait > ns(float(d.timeout_s))
+        if failed:
+            wait = ns(float(d.timeout_s))
+        self.queue.at(now + wait, DISCOVERY, self._list_answer, sidecar, sidecar.life, failed)
 
     def _list_answer(self, sidecar: Sidecar, life: int, failed: bool) -> None:
         if life != sidecar.life:
@@ -277,12 +286,19 @@
 
     def report(self, machine: Machine) -> dict[str, float]:
         """A machine's load report as it stands: refreshed now and then, noisy."""
-        now = self.queue.now
-        if now - machine.reported_at >= self._report_period:
-            machine.reported_at = now
+        now, made = self.queue.now, machine.reported
+        if not made or now - made[-1][0] >= self._report_period:
             said = machine.state.report(now, self._report_noise)
-            machine.reported = {name: said[name] for name in self._report_fields}
-        return machine.reported
+            made.append((now, {name: said[name] for name in self._report_fields}))
+        return made[-1][1]
+
+    def late_report(self, machine: Machine) -> dict[str, float] | None:
+        """The one that an answer of now carries: as it stood a while ago; None at first."""
+        self.report(machine)
+        now, made = self.queue.now, machine.reported
+        while len(made) > 1 and made[1][0] + self._report_delay <= now:
+            made.popleft()
+        return made[0][1] if made[0][0] + self._report_delay <= now else None
 
     def probe(self, sidecar: Sidecar, server: str) -> None:
         """A probe goes out."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -28,6 +28,7 @@
     ServerEntry,
     ServerList,
     ServerState,
+    SetTimer,
     Subscribe,
     TimerFired,
 )
@@ -221,6 +222,15 @@
     assert host.attempts[host.ask()] == ["s0"]
 
 
+def test_sidecars_whose_calls_failed_together_ask_again_out_of_step() -> None:
+    delays = set()
+    for seed in range(8):
+        host = Host(settings(ask_for_list=True), seed=seed, servers=0)
+        asked = host.do(ServerList(ListKind.FAILED))
+        delays |= {action.delay_ns // (50 * MS) for action in asked if isinstance(action, SetTimer)}
+    assert len(delays) >= 4 and 10 <= min(delays) <= max(delays) < 30
+
+
 def test_the_list_is_not_asked_for_where_it_is_pushed() -> None:
     host = Host()
     host.do(ServerList(ListKind.FAILED))
