--- a/tests/emulator/test_choking.py
+++ b/tests/emulator/test_choking.py
@@ -105,3 +105,22 @@
         found[how] = measure(world).row
     assert found["none"]["chokes"] >= 4 and found["answers"]["chokes"] <= 1
     assert found["answers"]["G"] > found["none"]["G"] + 0.04
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_all_servers_replaced_while_the_list_is_late_and_one_sidecar_has_most_traffic(seed: int) -> None:
+    """The worst hour of a filing season: all cold at once, word of it nine seconds late, load near the brim."""
+    scenario = read(FILE.read_text(), str(FILE))
+    scenario = change(
+        scenario,
+        day=change(scenario.day, length_s=26.0),
+        discovery=change(scenario.discovery, notice_s=9.0, add_s=9.0),
+        traffic=change(scenario.traffic, load=0.9, sidecar_cv=2.0),
+        troubles=[change(scenario.troubles[0], at_s=6.0, length_s=4.0, part=1.0)],
+    )
+    world = World(draw(scenario, seed), ours)
+    world.run()
+    assert world.referee.kept, (
+        world.referee.counts
+    )  # no effect twice, nothing to who is gone, no cold one pushed over
+    assert measure(world).row["fell"] == 0
