--- a/iristrack/cli/lab.py
+++ b/iristrack/cli/lab.py
@@ -43,6 +43,11 @@
     )
     listing = parts.add_parser("list", help="the scenarios and experiments of a folder")
     listing.add_argument("folder", type=Path, nargs="?", help="default: scenarios/ beside the package")
+    fleet = parts.add_parser(
+        "fleet", help="what a fleet did by second, counted from its sidecars' DEBUG logs"
+    )
+    fleet.add_argument("folder", type=Path, help="where the logs are (*.log, one a sidecar)")
+    fleet.add_argument("--every", type=int, default=1, help="seconds a row (default 1)")
     lab.set_defaults(call=main)
 
 
@@ -54,7 +59,7 @@
     except ModuleNotFoundError as fault:
         print(f"iristrack: lab needs {fault.name}: pip install -r requirements-lab.txt", file=sys.stderr)
         return 2
-    calls = {"run": _run, "compare": _compare, "replay": _replay, "list": _list}
+    calls = {"run": _run, "compare": _compare, "replay": _replay, "list": _list, "fleet": _fleet}
     try:
         return calls[chosen.lab](chosen)
     except (ScenarioError, FolderError) as fault:
@@ -226,6 +231,48 @@
     return 0 if same else 1
 
 
+def _fleet(chosen: argparse.Namespace) -> int:
+    from collections import Counter
+
+    from rich.table import Table
+
+    from iristrack.lab.fleet import load
+
+    try:
+        if chosen.every < 1:
+            raise ValueError("--every must be 1 or more")
+        fleet = load(chosen.folder)
+    except (ValueError, OSError) as fault:
+        print(f"iristrack: {fault}", file=sys.stderr)
+        return 2
+    refusals = [name for name, _ in fleet.total("refused").most_common()]
+    outcomes = [name for name, _ in fleet.total("ended").most_common() if name != "OK"]
+    names = ["second", "served", "short", "failed", "sent", "again", "servers", "sidecars"]
+    table = Table(*names, *(f"short: {n}" for n in refusals), *outcomes, "ejected")
+    for begin in range(0, len(fleet.rows), chosen.every):
+        rows = fleet.rows[begin : begin + chosen.every]
+
+        def added(name: str, rows: list = rows) -> Counter[str]:
+            return sum((getattr(row, name) for row in rows), Counter())
+
+        answers, refused, ended = added("answers"), added("refused"), added("ended")
+        servers = len(set().union(*(row.servers for row in rows)))
+        sidecars = len(set().union(*(row.sidecars for row in rows)))
+        figures = [
+            begin, answers["SERVED"], answers["SHORT"], answers["FAILED"], sum(row.sent for row in rows),
+            sum(row.again for row in rows), servers, sidecars,
+            *(refused[name] for name in refusals), *(ended[name] for name in outcomes),
+            sum(added("ejected").values()),
+        ]  # fmt: skip
+        table.add_row(*(str(figure) for figure in figures))
+    _show(table)
+    answers = fleet.total("answers")
+    print(f"answers: {dict(answers)}; ejected: {dict(fleet.total('ejected'))}")
+    if quartiles := fleet.quartiles():
+        print(f"refused without a routed task: quartiles of the time left {quartiles} ms")
+    return 0
+
+
 def _list(chosen: argparse.Namespace) -> int:
     from iristrack.emulator.scenario import ScenarioError
     from iristrack.lab import experiment as ex
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -174,3 +174,19 @@
     host.wait(TRUSTED_NS + FADES_NS)  # nothing more is heard: the crowd is forgotten
     later = [host.ask(key=f"k{i}") for i in range(2)]
     assert later[0] in host.attempts
+
+
+def test_a_server_that_looks_fast_since_it_refuses_nearly_all_is_not_sent_more() -> None:
+    """Its report tells of a tiny crowd; what bounds it are its refusals, which cut our own limit."""
+    host = Host(settings(report_fields=("eps", "latency_ms", "qps", "queue")), servers=2)
+    report = {"eps": 0.0, "latency_ms": 1.0, "qps": 3.0, "queue": 0.0}
+    for i in range(60):
+        request = host.ask(key=f"k{i}")
+        for number, server in enumerate(host.attempts[request]):
+            outcome = Outcome.REJECTED if server == "s0" else Outcome.OK
+            host.do(AttemptEnded(request, number, server, outcome, outcome is Outcome.OK, MS, report))
+        host.wait(20 * MS)
+    refusing, other = host.balancer.servers["s0"], host.balancer.servers["s1"]
+    assert refusing.crowd.others < 1 and refusing.room.limit < other.room.limit
+    late = [host.attempts[host.ask(key=f"late{i}")][0] for i in range(2)]
+    assert late == ["s1", "s1"]  # it is ejected, but for trials
