--- a/iristrack/lab/fleet.py
+++ b/iristrack/lab/fleet.py
@@ -4,7 +4,7 @@
 nobody: only lines that were written. A line that it does not know is passed over; it keeps one row a second and one
 open attempt a call, so that its memory is bounded by `MOST_SECONDS` and `MOST_CALLS`.
 
-A log line begins with a clock, perhaps behind a stamp in brackets, as the daemon and whoever runs it write it:
+A log line begins with a clock, perhaps behind a stamp, in brackets or not, of whoever ran the sidecars:
 
     [12.04] 23:32:27.121 DEBUG call 9b1f attempt 0 at s-39: OK after 12 ms, final
 """
@@ -22,7 +22,7 @@
 MOST_CALLS = 1_000_000  # whose first routed task is remembered
 FEW_MS = 50  # a refusal this soon after a call's arrival cannot be told from one at once
 
-_LINE = re.compile(r"^(?:\[([\d.]+)\] )?(\d\d):(\d\d):(\d\d)\.(\d+) (\w+) (.*)$")
+_LINE = re.compile(r"^(?:\[?([\d.]+)\]? )?(\d\d):(\d\d):(\d\d)\.(\d+) (\w+) (.*)$")
 _SENT = re.compile(r"^call (\S+) attempt (\d+) to (\S+) within (-?\d+) ms$")
 _ENDED = re.compile(r"^call (\S+) attempt (\d+) at (\S+): (\w+) after (\d+) ms")
 _ANSWERED = re.compile(
--- a/tests/emulator/test_fleet_log.py
+++ b/tests/emulator/test_fleet_log.py
@@ -18,7 +18,7 @@
 [3.20] 00:00:03.000 DEBUG call a2 view answered SHORT after 0 routed tasks, 800 ms before its end
 [3.30] 00:00:03.100 INFO server s-2 ejected: errors of view
 [3.40] 00:00:03.200 DEBUG call a3 attempt 0 to s"""
-B = """[3.50] 23:59:59.000 DEBUG call b1 attempt 0 to s-1 within 900 ms
+B = """3.500 23:59:59.000 DEBUG call b1 attempt 0 to s-1 within 900 ms
 [3.60] 23:59:59.100 DEBUG call b1 attempt 0 at s-1: OK after 99 ms, final
 [3.60] 23:59:59.100 DEBUG call b1 pay answered SERVED after 1 routed tasks, 800 ms before its end
 """
