--- a/benchmarks/cold_guard.py
+++ b/benchmarks/cold_guard.py
@@ -24,7 +24,7 @@
 from iristrack.balance import Balancer  # noqa: E402
 from iristrack.emulator.figures import measure  # noqa: E402
 from iristrack.emulator.plan import draw  # noqa: E402
-from iristrack.emulator.scenario import read  # noqa: E402
+from iristrack.emulator.scenario import ScenarioError, read  # noqa: E402
 from iristrack.emulator.world import World  # noqa: E402
 
 
@@ -50,9 +50,18 @@
     parser.add_argument("--load", type=float, default=0.0, help="in place of the scenario's own")
     parser.add_argument("--jobs", type=int, default=4)
     args = parser.parse_args()
-    seeds = range(1, min(args.seeds, 1000) + 1)
-    with ProcessPoolExecutor(max_workers=args.jobs) as pool:
-        rows = list(pool.map(partial(play, args.scenario, args.load), seeds))
+    if not (1 <= args.seeds <= 1000 and 1 <= args.jobs <= 64 and 0 <= args.load <= 100):
+        parser.error("seeds lie between 1 and 1000, jobs between 1 and 64, the load between 0 and 100")
+    try:
+        read(Path(args.scenario).read_text(), args.scenario)
+        with ProcessPoolExecutor(max_workers=args.jobs) as pool:
+            rows = list(pool.map(partial(play, args.scenario, args.load), range(1, args.seeds + 1)))
+    except (OSError, ScenarioError) as fault:
+        print(f"cold_guard: {fault}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        print("cold_guard: stopped; nothing is kept", file=sys.stderr)
+        return 130
     for seed, fell, g, kept in rows:
         print(f"seed {seed:4d}  pushed over {fell}  G {g:.4f}  {'' if kept else 'a rule broken'}")
     print(
