Learn one pace for all cold servers, and take no common room for them

Change: limits/cold.py (ColdPace, what is in hand, a late last word), limits/room.py (out of the module, sized by the warm servers in use), the module asks them.

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -13,8 +13,9 @@
 from collections import deque
 
 from iristrack import interface as mi
-from iristrack.limits.cold import ColdBudget
+from iristrack.limits.cold import ColdBudget, ColdPace
 from iristrack.limits.crowd import Crowd
+from iristrack.limits.room import LEAST_LIMIT, Room
 from iristrack.records import (
     BROKE,
     DID_NOT_RUN,
@@ -44,9 +45,7 @@
 FIRST_WINDOW = 16  # the first look is a shorter one
 BASE_CREEP = 1.02  # an old low is forgotten by so much a window
 LIMIT_GAIN = 0.5  # how fast a server's limit follows the answers
-MOST_GROWTH = 4.0  # a limit under the first guess grows at most so much faster than one at it
-FEWEST_AT_ALL = 3.0  # room that a balancer has at all servers together to start with, at the least
-LEAST_LIMIT = 0.1  # below 1 a limit is a share of the time: the server rests between our requests
+FINE = 0.75  # most of its aim that a cold server's answer may take and count as a good one
 WIDEN = 0.5  # how full a server past a key's pair may be to take it
 ERRORS_OUT = 2.0  # recent errors that eject a server, where errors are rare
 ERROR_FADE = 0.8  # what is left of that count after each good answer
@@ -73,6 +72,9 @@
 MOST_CLASSES = 64
 SPARE_ENTRIES = 64  # places a server's waiting list may hold beyond twice those that wait
 COUNTS_ON = frozenset({mi.Outcome.ERROR, mi.Outcome.RESET, mi.Outcome.TIMEOUT})  # as in flight for a while
+OVERDRIVEN = frozenset(
+    {mi.Outcome.REJECTED, mi.Outcome.TIMEOUT}
+)  # what tells that a cold server got too much
 BREAKS = frozenset({mi.Outcome.RESET, mi.Outcome.TIMEOUT})  # what may be the connection's fault alone
 LEARNED = (
     "overdue_share",
@@ -86,28 +88,13 @@
 TICK, ASK_AGAIN = range(2)  # tokens of timers
 
 
-class _Room:
-    """What we may have in flight at a server, or at all of them together where one's part is too small."""
-
-    __slots__ = ("inflight", "limit", "rest_until", "servers", "start", "waiting")
-
-    def __init__(self, limit: float) -> None:
-        self.start = self.limit = limit
-        self.servers = 1
-        self.inflight = self.rest_until = 0
-        self.waiting: list[tuple[float, int, _Open]] = []  # heap of held requests: the best worth first
-
-    def full(self, now: int) -> bool:
-        return self.inflight >= self.limit or now < self.rest_until
-
-
 class _Server:
     __slots__ = (
         "budget", "by_class", "cell", "crowd", "down", "failed_connects", "hash", "id", "inflight", "last_ok",
         "ready", "room", "silent", "started", "warm_at", "weight", "whole", "zone",
     )  # fmt: skip
 
-    def __init__(self, entry: mi.ServerEntry, room: _Room) -> None:
+    def __init__(self, entry: mi.ServerEntry, room: Room) -> None:
         self.id = entry.server
         self.hash = hash64(entry.server)
         self.room = room
@@ -155,7 +142,7 @@
         self.start_limit = START_HELD / settings.balancers
         # Guards against very many balancers: where each has less than one request at a server, none learns
         # that server's limit in time, but it does learn from all its answers how much the fleet takes.
-        self.shared = _Room(1.0) if self.start_limit < 1 else None
+        self.shared = Room(1.0) if self.start_limit < 1 else None
         # Guards servers against a connection from each of many, unless a new one costs more than to keep it.
         dear = 100 * settings.prices.handshake > settings.prices.connection * settings.balancers
         self.closes_idle = self.shared is not None and not dear
@@ -181,6 +168,7 @@
         self.warm_answers = self.second_ends = 0
         self.judged = self.judged_from = self.busy_ns = 0
         self.slowness = 0.0  # sum of the judged latencies, each against its class's base
+        self.pace = ColdPace(self.shared is not None, settings.contract)  # what cold servers bear
         self.usual = 0.0  # our requests in flight a server when uncrowded
         self.slowdown = 1.0  # how much slower than the base answers are when no more than that are
         self.warm_rate: float | None = None  # answers a second that a warm server gives us
@@ -250,7 +238,7 @@
         for entry in event.servers:
             server = self.servers.get(entry.server)
             if server is None:
-                server = _Server(entry, self.shared or _Room(self.start_limit))
+                server = _Server(entry, self.shared or Room(self.start_limit))
                 self.servers[entry.server] = server
             server.weight = max(entry.weight, 0.01) if self.settings.sized_weights else 1.0
             if entry.started_ns != server.started:
@@ -270,11 +258,13 @@
             del self.servers[name]
         self.ready = sorted((s for s in self.servers.values() if s.ready), key=lambda s: s.hash)
         self.rankings.clear()
+        self._size_room(now)
+
+    def _size_room(self, now: int) -> None:
+        """The common room is for the warm servers in use: neither cold nor ejected ones take what it grants."""
         if self.shared is not None and self.ready:
-            room = self.shared
-            start = max(FEWEST_AT_ALL, self.start_limit * len(self.ready))
-            room.limit *= start / room.start
-            room.start, room.servers = start, len(self.ready)
+            in_use = sum(1 for s in self.ready if now >= s.warm_at and not s.ejected)
+            self.shared.stand_for(len(self.ready), in_use, self.start_limit)
 
     # ---- which server
 
@@ -320,8 +310,9 @@
                     return server  # a trial
                 continue
             seen += 1
-            # Past the pair only to a half-empty one: scattering keys in overload makes all work dearer.
-            if seen > 2 and server.room.inflight >= server.room.limit * WIDEN:
+            # Past the pair only to a half-empty one, as scattered keys make all work dearer, or to a cold one's budget.
+            crowded = self._takes_room(now, server) and server.room.inflight >= server.room.limit * WIDEN
+            if seen > 2 and crowded:
                 continue
             if self._has_room(now, server):
                 # Ties go to the first, which met the key last. With many balancers counts are nearly always
@@ -349,16 +340,25 @@
 
     def _has_room(self, now: int, server: _Server) -> bool:
         # Guards a server against the crowd that all balancers together make, where its reports tell of it.
-        if server.room.full(now) or server.crowd.full(now, server.inflight):
+        if server.crowd.full(now, server.inflight) or (
+            self._takes_room(now, server) and server.room.full(now)
+        ):
             return False
         if now >= server.warm_at:
             return True
         # Guards a cold server against all balancers together: see limits/cold.py.
+        if self.shared is not None and server.budget.in_hand(now, server.inflight):
+            return False
         rate = self.warm_rate
         if rate is None:
             seconds = max(1.0, (now - self.started_at) / mi.NS_PER_S)
             rate = self.arrivals / seconds / max(1.0, sum(s.weight for s in self.ready))
-        return server.budget.allows(now, rate * server.weight, server.started, self.settings.contract)
+        contract = self.settings.contract
+        return server.budget.allows(now, rate * server.weight, server.started, contract, self.pace)
+
+    def _takes_room(self, now: int, server: _Server) -> bool:
+        """At a cold server the common room is not asked, and learns nothing: its budget guards it."""
+        return self.shared is None or now >= server.warm_at
 
     def _may_send(self, now: int, request: _Open, server: _Server, again: bool = False) -> bool:
         """Rule 2, and no server twice but `again`: may this server get it after its earlier attempts?"""
@@ -456,7 +456,7 @@
         ranking = self._ranking(request.event.key, request.part)
         return [s for s in ranking if not s.ejections(request.cls.spec.name)][:2]
 
-    def _serve_waiting(self, now: int, room: _Room) -> None:
+    def _serve_waiting(self, now: int, room: Room) -> None:
         """Room may have come up: let in those that wait for it."""
         while room.waiting and not room.full(now):
             request = room.waiting[0][2]
@@ -477,8 +477,8 @@
             ejection.out_until = now + ejection.backoff  # one trial at a time
         if now < server.warm_at:
             server.budget.spend()
-        server.count(1)
-        attempt = _Attempt(server, now)
+        attempt = _Attempt(server, now, self._takes_room(now, server))
+        server.count(1, attempt.in_room)
         request.attempts.append(attempt)
         if not request.event.long:  # that one is judged from its last byte on
             request.cls.outstanding.append((request, attempt))
@@ -552,7 +552,7 @@
             request.streaming = True
             self._good(now, request, attempt)
             if not request.cls.spec.stream:  # the work is done; passing on what came of it takes no room
-                attempt.server.count(-1)
+                attempt.server.count(-1, attempt.in_room)
                 self._serve_waiting(now, attempt.server.room)
 
     def _on_ended(self, now: int, event: mi.AttemptEnded) -> None:
@@ -567,7 +567,7 @@
             room.rest_until = now + int((now - attempt.sent) * (1 / room.limit - 1))
         attempt.state = DID_NOT_RUN if outcome in mi.NEVER_RAN else BROKE if outcome in BREAKS else MAYBE_RAN
         if not request.streaming or request.cls.spec.stream:
-            server.count(-1)
+            server.count(-1, attempt.in_room)
         if outcome is mi.Outcome.OK:
             if not request.streaming:
                 self._good(now, request, attempt)
@@ -628,7 +628,7 @@
         if now >= server.warm_at:
             self.warm_answers += 1
         elif attempt.sent > server.started:
-            server.budget.answered(now)
+            self._cold_answer(now, server, self.shared is None or latency < FINE * cls.spec.aim_ns)
         self._adapt(now, server, cls, latency)
         for ejection in ejections:
             ejection.needed -= 1
@@ -640,6 +640,10 @@
                 of = "" if ejection is server.whole else f" for {cls.spec.name}"
                 self.actions.append(mi.Log(f"server {server.id} returned{of}"))
 
+    def _cold_answer(self, now: int, server: _Server, fine: bool) -> None:
+        server.budget.answered(now, fine)
+        self.pace.follow(fine)
+
     def _count_on(self, now: int, server: _Server) -> None:
         """Count an attempt that ended as in flight for a while.
 
@@ -657,6 +661,8 @@
 
     def _bad(self, now: int, request: _Open, attempt: _Attempt, outcome: mi.Outcome) -> None:
         server = attempt.server
+        if outcome in OVERDRIVEN and self.shared and now < server.warm_at and attempt.sent > server.started:
+            self._cold_answer(now, server, False)
         if outcome in COUNTS_ON:
             self._count_on(now, server)
         if outcome is mi.Outcome.ERROR or outcome is mi.Outcome.RESET:
@@ -700,6 +706,8 @@
     def _adapt(self, now: int, server: _Server, cls: _Class, latency: int) -> None:
         """Guards against overload, and servers turning slow in a crowd: keep answers well within the aim."""
         target = TARGET * cls.spec.aim_ns
+        if not self._takes_room(now, server):
+            return
         if now >= server.warm_at:  # a cold server is slow by itself: that is no sign of a crowd
             crowded = max(UNCROWDED * cls.base, CROWDED * cls.base - (CROWDED - 1) * cls.low)
             target = min(target, crowded * self.slowdown)
@@ -708,18 +716,7 @@
                 self.judged += 1
                 self.slowness += latency / cls.base
                 self.busy_ns += latency
-        room = server.room
-        step = LIMIT_GAIN * (1 - min(latency / target, 3.0)) / 2
-        if step > 0:
-            if room.inflight * 2 < room.limit - 1:
-                return
-            # Growth slows with the limit's size, cuts do not: else the busiest balancer ends up with
-            # a crowded server to itself, and others refuse their dearest while it sends its cheapest.
-            step *= min(MOST_GROWTH, room.start / room.limit)
-        if room.servers == 1:
-            room.limit = max(LEAST_LIMIT, room.limit + step)
-        else:  # small steps, as one slow answer says little of all servers; one request may always be out
-            room.limit = max(1.0, room.limit + step * min(1.0, room.limit / FEWEST_AT_ALL))
+        server.room.follow(LIMIT_GAIN * (1 - min(latency / target, 3.0)) / 2)
 
     def _eject(self, now: int, server: _Server, held: _Suspicion, needed: int, reason: str) -> None:
         if held.ejected:
@@ -766,6 +763,7 @@
             rate = self.warm_answers / seconds / warm
             self.warm_rate = rate if self.warm_rate is None else self.warm_rate + (rate - self.warm_rate) / 8
         self.warm_answers = 0
+        self._size_room(now)
         self.second_ends = now + mi.NS_PER_S
         for tenant in self.asked:
             self.asked[tenant] *= RECENT
--- a/iristrack/limits/cold.py
+++ b/iristrack/limits/cold.py
@@ -1,12 +1,14 @@
 """How much one sidecar may send to a pool server that just started, so that all of them together do not push it over.
 
-This file owns the budget of one server at one sidecar. It must never pick, send or refuse, and it reads no clock:
-times are the host's nanoseconds, rates are requests a second.
+This file owns the budget of one server at one sidecar, and the pace that a sidecar among many learns for all its cold
+servers. It must never pick, send or refuse, and it reads no clock: times are the host's nanoseconds, rates are
+requests a second.
 
 The bound needs nobody to hear anything of the others. Each sidecar sends at the floor (its own part of what the
-contract grants at this age) plus `EARNED` times the rate of good answers that the server gave it since its start. The
-answers to all sidecars together are no more than the server can do now, as a cold server only gets faster. So all
-together send at most the floor, plus `EARNED` times what the server can do, plus a burst of one token each.
+contract grants at this age) times its pace, plus `EARNED` times the rate of good answers that the server gave it since
+its start. The answers to all sidecars together are no more than the server can do now, as a cold server only gets
+faster. So all together send at most the floor times the pace, plus `EARNED` times what the server can do, plus a
+burst of one token each; and the pace stays where that is within the contract.
 """
 
 from __future__ import annotations
@@ -19,6 +21,10 @@
 FACTOR = 4.0  # at a contract with this factor the floor is what it promises, at a lower one less
 EARNED = 1.25  # sends that an answer earns; less than the contract's factor less one
 MEMORY_NS = NS_PER_S  # answers count for about so long
+LEAST_PACE = 2 / 3  # a sidecar among many begins with so much of the floor, at all cold servers
+PACE_STEP = 1 / 3  # and takes so much more with each good answer of any of them,
+PACE_CUT = 0.5  # or is left with so much after a late one or none
+IN_HAND = 0.5  # requests of ours at a cold server, beside one, for each that it answered lately
 
 
 def granted_share(age_ns: int, cold_share: float, cold_ns: int) -> float:
@@ -26,14 +32,37 @@
     return cold_share + (1 - cold_share) * min(1.0, max(0, age_ns) / cold_ns)
 
 
+class ColdPace:
+    """How much of the floor a sidecar may send to cold servers, learnt from the answers of all of them.
+
+    Of many sidecars each meets one cold server so seldom that its answers come too late to earn it anything. But
+    those of all its cold servers tell how much such servers bear at this time.
+    """
+
+    __slots__ = ("least", "most", "value")
+
+    def __init__(self, many: bool, contract: Contract) -> None:
+        """`many`: is this one of many sidecars? One of few goes by each server's own answers, at the floor."""
+        factor = contract.overload_factor
+        self.least = self.value = LEAST_PACE if many else 1.0
+        self.most = max(self.least, FACTOR * (1 - EARNED / factor)) if many else 1.0
+
+    def follow(self, fine: bool) -> None:
+        """A cold server answered well in time, or did not."""
+        self.value = (
+            min(self.most, self.value + PACE_STEP) if fine else max(self.least, self.value * PACE_CUT)
+        )
+
+
 class ColdBudget:
     """One cold server's tokens at one sidecar: one is a send."""
 
-    __slots__ = ("answers", "answers_at", "at", "tokens")
+    __slots__ = ("answers", "answers_at", "at", "fine", "tokens")
 
     def __init__(self, tokens: float) -> None:
         """A part of a `token`, at random: a whole one would let a thousand sidecars at a cold server at once."""
         self.tokens = tokens
+        self.fine = True  # was its own last word a good one?
         self.at = 0  # when they were last counted; 0: never
         self.answers = 0.0  # good answers of this start, fading
         self.answers_at = 0
@@ -44,14 +73,25 @@
         self.answers_at = now
         return self.answers
 
-    def answered(self, now: int) -> None:
-        """A request that was sent to it since this start was served."""
-        self.answers = self._recent(now) + 1
+    def answered(self, now: int, fine: bool = True) -> None:
+        """A request that was sent to it since this start was served; not `fine`: late, or not at all.
+
+        After that it gets no more than the least, until it answers well: most that fall over are much slower than
+        their size tells.
+        """
+        self.fine = fine
+        self.answers = self._recent(now) + 1 if fine else 0.0
+
+    def in_hand(self, now: int, own: int) -> bool:
+        """Does it hold as many requests of ours, `own`, as its answers of late allow?"""
+        return own >= 1 + IN_HAND * self._recent(now)
 
-    def allows(self, now: int, warm_rate: float, started: int, contract: Contract) -> bool:
+    def allows(self, now: int, warm_rate: float, started: int, contract: Contract, pace: ColdPace) -> bool:
         """May a request go there now? `warm_rate`: how many a second it would answer us when warm."""
         share = granted_share(now - started, contract.cold_share, contract.cold_ns)
-        floor = warm_rate * share * contract.overload_factor / FACTOR
+        floor = (
+            warm_rate * share * contract.overload_factor / FACTOR * (pace.value if self.fine else pace.least)
+        )
         rate = floor + EARNED * self._recent(now) * NS_PER_S / MEMORY_NS
         elapsed = (now - self.at) / NS_PER_S if self.at else 0.0
         self.tokens = min(max(1.0, rate / 2), self.tokens + elapsed * rate)
--- a/iristrack/records.py
+++ b/iristrack/records.py
@@ -50,10 +50,11 @@
 class Attempt:
     """One attempt: at which server, since when, and how it stands."""
 
-    __slots__ = ("overdue", "sent", "server", "state")
+    __slots__ = ("in_room", "overdue", "sent", "server", "state")
 
-    def __init__(self, server: Any, sent: int) -> None:
-        """It is out."""
+    def __init__(self, server: Any, sent: int, in_room: bool) -> None:
+        """It is out; `in_room`: does it take of what the sidecar may have in flight?"""
+        self.in_room = in_room
         self.server = server
         self.sent = sent
         self.state = OUT
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from iristrack.interface import NS_PER_S, AttemptEnded, Contract, ListKind, Outcome
-from iristrack.limits.cold import ColdBudget
+from iristrack.limits.cold import ColdBudget, ColdPace
 from iristrack.limits.crowd import FADES_NS, MOST_TOLD, TRUSTED_NS, Crowd, figures
 
 REPORT = {"qps": 40.0, "latency_ms": 100.0, "queue": 2.0, "eps": 0.0}  # six in hand
@@ -119,19 +119,28 @@
     return WARM_RATE * max(share, CONTRACT.cold_share + (1 - CONTRACT.cold_share) * now / CONTRACT.cold_ns)
 
 
-def flood(sidecars: list[ColdBudget], share: float) -> list[int]:
-    """All send whenever they may; the server answers what it can, in turn. When each send was made."""
+def flood(sidecars: list[ColdBudget], share: float, many: bool = False, praised: bool = False) -> list[int]:
+    """All send whenever they may; the server answers what it can, in turn. When each send was made.
+
+    `praised`: other cold servers have answered them all so well that their pace is at its highest.
+    """
     sends, queue, done = [], [], 0.0
+    paces = [ColdPace(many, CONTRACT) for _ in sidecars]
+    for pace in paces * 10 * praised:
+        pace.follow(True)
     for now in range(5 * MS, 8 * NS_PER_S, 5 * MS):
-        for budget in sidecars:
-            if budget.allows(now, WARM_RATE / len(sidecars), 1, CONTRACT):
+        for i, budget in enumerate(sidecars):
+            if budget.allows(now, WARM_RATE / len(sidecars), 1, CONTRACT, paces[i]):
                 budget.spend()
                 sends.append(now)
-                queue.append(budget)
+                queue.append((now, i))
         done = min(done + able(share, now) / 200, 1.0 + len(queue))
         while queue and done >= 1:
             done -= 1
-            queue.pop(0).answered(now)
+            sent, i = queue.pop(0)
+            fine = now - sent < NS_PER_S
+            sidecars[i].answered(now, fine)
+            paces[i].follow(fine)
     return sends
 
 
@@ -144,6 +153,110 @@
         assert arrived <= 0.9 * CONTRACT.overload_factor * able(share, start)
 
 
+@pytest.mark.parametrize("share", [0.12, 0.35])
+@pytest.mark.parametrize("number", [24, 200])
+def test_many_whose_pace_is_at_its_highest_stay_under_the_contract(number: int, share: float) -> None:
+    sends = flood([ColdBudget(i / number) for i in range(number)], share, many=True, praised=True)
+    for start in range(0, 7 * NS_PER_S, NS_PER_S // 4):
+        arrived = sum(start <= at < start + NS_PER_S for at in sends)
+        # The operators' page grants chance: N and three times its root, and three.
+        granted = CONTRACT.overload_factor * able(share, start)
+        assert arrived <= granted + 3 * granted**0.5 + 3
+
+
+def test_many_learn_from_all_cold_servers_what_one_answers_too_seldom_to_tell() -> None:
+    fresh, praised = (
+        flood([ColdBudget(i / 200) for i in range(200)], 0.35, many=True, praised=x) for x in (False, True)
+    )
+    early = [sum(at < 3 * NS_PER_S for at in sends) for sends in (fresh, praised)]
+    assert early[1] > 1.5 * early[0]
+
+
+def test_a_server_that_answered_late_gets_none_of_the_pace_that_others_earned() -> None:
+    pace = ColdPace(True, CONTRACT)
+    for _ in range(100):
+        pace.follow(True)
+    assert pace.value == pytest.approx(pace.most) and pace.most * CONTRACT.overload_factor / 4 + 1.25 <= 3.0
+    late, good = ColdBudget(0.0), ColdBudget(0.0)
+    late.answered(0, fine=False)
+    sent = [0, 0]
+    for now in range(0, 6 * NS_PER_S, 10 * MS):
+        for i, budget in enumerate((late, good)):
+            if budget.allows(now, 20.0, 1, CONTRACT, pace):
+                budget.spend()
+                sent[i] += 1
+    assert 0 < sent[0] < sent[1] / 2
+    for _ in range(10):
+        pace.follow(False)
+    assert pace.value == pace.least  # a fleet of which nothing comes back is sent the least
+
+
+def test_one_of_few_sidecars_goes_by_the_floor_whatever_is_answered() -> None:
+    pace = ColdPace(False, CONTRACT)
+    for fine in (True, True, False):
+        pace.follow(fine)
+        assert pace.value == pace.least == 1.0
+
+
+MANY = {"balancers": 100, "contract": CONTRACT}
+
+
+def test_what_is_out_at_cold_servers_takes_no_room_of_the_warm_ones() -> None:
+    host = Host(settings(**MANY), servers=0)
+    cold = [host.entry(i, started_ns=host.now) for i in range(30)]
+    host.list(cold + [host.entry(i) for i in range(30, 60)])
+    room, limit = host.balancer.shared, host.balancer.shared.limit
+    for server in host.balancer.servers.values():
+        server.budget.tokens = 1.0
+    asked = [host.ask(key=f"k{i}") for i in range(300)]
+    sent = [host.attempts[r][0] for r in asked if r in host.attempts]
+    at_cold = [r for r in asked if r in host.attempts and int(host.attempts[r][0][1:]) < 30]
+    assert len(at_cold) > 10 and room.inflight == len(sent) - len(at_cold) > 0
+    host.wait(390 * MS)
+    for request in at_cold:  # so late that a warm one's answer would cut the room
+        host.end(request)
+    assert room.limit == limit and room.inflight == len(sent) - len(at_cold)
+
+
+def test_a_key_whose_pair_is_cold_is_sent_past_it_to_a_cold_server_that_may_be_sent_to() -> None:
+    host = Host(settings(**MANY), servers=0)
+    host.list([host.entry(i, started_ns=host.now) for i in range(6)])
+    host.balancer.shared.inflight = 99  # what warm servers hold does not keep it from a cold one
+    ranking = host.balancer._ranking("k", 0)
+    ranking[4].budget.tokens = 1.0
+    for server in ranking[:4]:
+        server.budget.tokens = 0.0
+    assert host.attempts[host.ask(key="k")] == [ranking[4].id]
+
+
+def test_a_cold_server_that_says_nothing_gets_one_request_of_ours() -> None:
+    host = Host(settings(**MANY), servers=0)
+    host.list([host.entry(0, started_ns=host.now)])
+    budget = host.balancer.servers["s0"].budget
+    host.wait(MS)
+    for i in range(5):
+        budget.tokens = 1.0
+        host.ask(key=f"k{i}")
+    assert len(host.sends()) == 1
+    host.end("r1")
+    for i in range(5):
+        budget.tokens = 1.0
+        host.ask(key=f"again{i}")
+    assert len(host.sends()) == 3  # the answer lets another one in beside the first
+
+
+def test_the_common_room_is_for_the_warm_servers_in_use() -> None:
+    host = Host(settings(**MANY | {"balancers": 24}), servers=60)
+    room = host.balancer.shared
+    before = room.limit
+    host.list([host.entry(i, started_ns=host.now) for i in range(40)], ListKind.DELTA)
+    assert room.limit == pytest.approx(before / 3)
+    host.now += CONTRACT.cold_ns  # they are warm: the next second's look gives it back
+    host.serve(60)
+    host.wait(2 * NS_PER_S)
+    assert room.start == pytest.approx(before)
+
+
 def test_a_server_that_proves_to_be_able_to_more_is_sent_more() -> None:
     weak, strong = (flood([ColdBudget(i / 4) for i in range(4)], share) for share in (0.12, 0.5))
     early = [sum(at < 3 * NS_PER_S for at in sends) for sends in (weak, strong)]
