--- a/.ci/checks.py
+++ b/.ci/checks.py
@@ -26,6 +26,7 @@
     "iristrack.limits": 2,
     "iristrack.records": 2,
     "iristrack.recovery": 2,
+    "iristrack.zones": 2,
     "iristrack.drill": 3,
     "iristrack.net": 3,
     "iristrack.store": 3,
@@ -40,6 +41,7 @@
     "iristrack.limits",
     "iristrack.records",
     "iristrack.recovery",
+    "iristrack.zones",
 )
 FORBIDDEN = {"socket", "select", "time", "os", "pathlib", "threading", "subprocess", "io", "datetime"}
 SERVE_PROBE = """
--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -13,8 +13,7 @@
 from collections import deque
 
 from iristrack import interface as mi
-from iristrack.limits.cold import ColdBudget, ColdPace
-from iristrack.limits.crowd import Crowd
+from iristrack.limits.cold import ColdPace
 from iristrack.limits.room import LEAST_LIMIT, Room
 from iristrack.records import (
     BROKE,
@@ -31,7 +30,9 @@
 from iristrack.records import Attempt as _Attempt
 from iristrack.records import ClassRecord as _Class
 from iristrack.records import OpenRequest as _Open
+from iristrack.records import Server as _Server
 from iristrack.records import Suspicion as _Suspicion
+from iristrack.zones.silence import Zones
 
 TICKS_PER_AIM = 16  # housekeeping runs so many times within the shortest aim
 TARGET = 0.5  # most of its aim that an answer should take on average: leaves as much again for its spread
@@ -88,46 +89,6 @@
 TICK, ASK_AGAIN = range(2)  # tokens of timers
 
 
-class _Server:
-    __slots__ = (
-        "budget", "by_class", "cell", "crowd", "down", "failed_connects", "hash", "id", "inflight", "last_ok",
-        "ready", "room", "silent", "started", "warm_at", "weight", "whole", "zone",
-    )  # fmt: skip
-
-    def __init__(self, entry: mi.ServerEntry, room: Room) -> None:
-        self.id = entry.server
-        self.hash = hash64(entry.server)
-        self.room = room
-        self.ready = False
-        self.inflight = 0  # our attempts out, and failed ones that still count
-        self.started = -1  # forget() follows, as each entry tells of another start
-
-    def count(self, by: int, in_room: bool = True) -> None:
-        self.inflight += by
-        self.room.inflight += by * in_room
-
-    def forget(self, tokens: float, wait_ns: float) -> None:
-        """Start afresh, as for a process that just started."""
-        if self.room.servers == 1:
-            self.room.limit, self.room.rest_until = self.room.start, 0
-        self.down = False
-        self.whole = _Suspicion()
-        self.by_class: dict[str, _Suspicion] = {}
-        self.silent = self.failed_connects = self.last_ok = 0
-        self.budget = ColdBudget(tokens)
-        self.crowd = Crowd(HELD_BY_ALL * self.weight, wait_ns)
-
-    @property
-    def ejected(self) -> bool:
-        return self.whole.ejected
-
-    def ejections(self, name: str) -> list[_Suspicion]:
-        """What keeps requests of this class from it, but for trials."""
-        if not (self.whole.ejected or self.by_class):
-            return []
-        return [s for s in (self.whole, self.by_class.get(name)) if s is not None and s.ejected]
-
-
 class Balancer:
     """One sidecar's balancer: feed it the clock and an event, carry out the actions it returns."""
 
@@ -168,6 +129,7 @@
         self.warm_answers = self.second_ends = 0
         self.judged = self.judged_from = self.busy_ns = 0
         self.slowness = 0.0  # sum of the judged latencies, each against its class's base
+        self.zones = Zones()
         self.pace = ColdPace(self.shared is not None, settings.contract)  # what cold servers bear
         self.usual = 0.0  # our requests in flight a server when uncrowded
         self.slowdown = 1.0  # how much slower than the base answers are when no more than that are
@@ -242,13 +204,13 @@
                 self.servers[entry.server] = server
             server.weight = max(entry.weight, 0.01) if self.settings.sized_weights else 1.0
             if entry.started_ns != server.started:
-                server.forget(self.random.random(), TARGET * self.shortest_aim)
+                server.forget(self.random.random(), HELD_BY_ALL, TARGET * self.shortest_aim)
                 server.started = entry.started_ns
                 known = self.known.get(entry.server)
                 if known is not None and known["started"] == entry.started_ns:
                     recall(server, now, known, LEAST_LIMIT)
             server.ready = entry.state is mi.ServerState.READY
-            server.zone = entry.zone
+            server.zone, server.area = entry.zone, self.zones.zone(entry.zone)
             server.cell = entry.cell
             cold_ns = self.settings.contract.cold_ns
             server.warm_at = entry.started_ns + cold_ns if entry.started_ns and cold_ns else 0
@@ -263,7 +225,7 @@
     def _size_room(self, now: int) -> None:
         """The common room is for the warm servers in use: neither cold nor ejected ones take what it grants."""
         if self.shared is not None and self.ready:
-            in_use = sum(1 for s in self.ready if now >= s.warm_at and not s.ejected)
+            in_use = sum(self._takes_room(now, s) for s in self.ready)
             self.shared.stand_for(len(self.ready), in_use, self.start_limit)
 
     # ---- which server
@@ -311,8 +273,8 @@
                 continue
             seen += 1
             # Past the pair only to a half-empty one, as scattered keys make all work dearer, or to a cold one's budget.
-            crowded = self._takes_room(now, server) and server.room.inflight >= server.room.limit * WIDEN
-            if seen > 2 and crowded:
+            crowded = seen > 2 and server.room.inflight >= server.room.limit * WIDEN
+            if crowded and self._takes_room(now, server):
                 continue
             if self._has_room(now, server):
                 # Ties go to the first, which met the key last. With many balancers counts are nearly always
@@ -357,8 +319,8 @@
         return server.budget.allows(now, rate * server.weight, server.started, contract, self.pace)
 
     def _takes_room(self, now: int, server: _Server) -> bool:
-        """At a cold server the common room is not asked, and learns nothing: its budget guards it."""
-        return self.shared is None or now >= server.warm_at
+        """The common room is for warm servers in use: a cold one's budget guards it, a silent one tells of no crowd."""
+        return self.shared is None or (now >= server.warm_at and not server.ejected)
 
     def _may_send(self, now: int, request: _Open, server: _Server, again: bool = False) -> bool:
         """Rule 2, and no server twice but `again`: may this server get it after its earlier attempts?"""
@@ -618,6 +580,7 @@
         if attempt.overdue and self.shared:  # a jammed or half-hung server shows in single late answers
             self._count_on(now, server)
         server.last_ok = now
+        self.zones.heard(now, server.area)
         server.silent = server.failed_connects = 0
         ejections = server.ejections(cls.spec.name)
         if not ejections:
@@ -637,7 +600,7 @@
                 ejection.ejected = False
                 ejection.backoff = FIRST_BACKOFF_NS
                 server.down = server.down and ejection is not server.whole
-                of = "" if ejection is server.whole else f" for {cls.spec.name}"
+                of = "" if ejection in (server.whole, server.area.suspicion) else f" for {cls.spec.name}"
                 self.actions.append(mi.Log(f"server {server.id} returned{of}"))
 
     def _cold_answer(self, now: int, server: _Server, fine: bool) -> None:
@@ -674,6 +637,9 @@
             # An attempt that was sent late times out early: that is no sign of a fast server.
             self._adapt(now, server, request.cls, max(now - attempt.sent, request.cls.spec.aim_ns))
             for ejection in ejections:
+                # Of a zone only its trial counts, not what was out there when it was held.
+                if ejection is server.area.suspicion and attempt.sent < ejection.out_until - ejection.backoff:
+                    continue
                 self._eject(now, server, ejection, ejection.needed, "silence")
         elif outcome is mi.Outcome.REJECTED:
             # Who is turned away with one request in flight is not turned away for a crowd of ours: cutting
@@ -723,8 +689,9 @@
             held.backoff = min(LAST_BACKOFF_NS, held.backoff * 2)
         else:
             name = next((n for n, s in server.by_class.items() if s is held), "")
-            out = sum(1 for s in self.ready if s.ejections(name) and not s.down)
-            if not server.down and out + 1 > MOST_OUT * len(self.ready):
+            area = server.area.suspicion
+            out = sum(1 for s in self.ready if s.ejections(name) and not (s.down or s.area.suspicion.ejected))
+            if not (server.down or held is area) and out + 1 > MOST_OUT * len(self.ready):
                 return
             held.ejected = True
             self.actions.append(mi.Log(f"server {server.id} ejected: {reason}"))
@@ -745,8 +712,11 @@
             self._measure(now)
         if self.judged >= (ONE_LOOK if now < self.judged_from + mi.NS_PER_S else SHORT_LOOK):
             self._judge_pace(now)
+        before = sum(1 for s in self.ready if s.ejected) if self.shared else 0
         for cls in self.classes.values():
             self._check_overdue(now, cls)
+        if self.shared is not None and sum(1 for s in self.ready if s.ejected) > before:
+            self._free_room(now)
         for request in sorted(self.held.values(), key=lambda r: -r.value):
             # Guards clients that wait in vain: past half of their time a refusal costs them more.
             if self._hopeless(now, request) or now + self.tick_ns > request.decide_by:
@@ -754,6 +724,14 @@
             else:
                 self._send_to_pick(now, request)
 
+    def _free_room(self, now: int) -> None:
+        """What is out at servers that fell silent takes no room from the others: it tells of no crowd."""
+        for request in self.requests.values():
+            attempt = request.attempts[-1] if request.out else None
+            if attempt is not None and attempt.in_room and attempt.server.ejected:
+                attempt.in_room = False
+                attempt.server.room.inflight -= 1
+
     def _measure(self, now: int) -> None:
         """What a warm server of weight 1 bears of our traffic, learnt while enough are warm."""
         seconds = (now - self.second_ends) / mi.NS_PER_S + 1.0
@@ -804,6 +782,8 @@
             server = attempt.server
             if server.last_ok <= attempt.sent:
                 server.silent += 1
+                if now >= server.warm_at and self.zones.silent(server.id, attempt.sent, server.area):
+                    self._eject(now, server, server.area.suspicion, 1, f"silence of zone {server.zone}")
                 # Judged against the fleet: where all are slow, slowness is no sign of a hang.
                 if not server.ejected and self.overdue_share**server.silent < SILENT_CHANCE:
                     self._eject(now, server, server.whole, 1, "silence")
--- a/iristrack/records.py
+++ b/iristrack/records.py
@@ -10,6 +10,8 @@
 from typing import Any
 
 from iristrack import interface as mi
+from iristrack.limits.cold import ColdBudget
+from iristrack.limits.crowd import Crowd
 
 MASK = (1 << 64) - 1
 FIRST_BACKOFF_NS = mi.NS_PER_S // 2  # of an ejection
@@ -47,6 +49,52 @@
         self.outstanding: deque = deque()  # (request, attempt), oldest first
 
 
+class Server:
+    """A pool server as the module knows it: counts, what is held against it, what it bears."""
+
+    __slots__ = (
+        "area", "budget", "by_class", "cell", "crowd", "down", "failed_connects", "hash", "id", "inflight", "last_ok",
+        "ready", "room", "silent", "started", "warm_at", "weight", "whole", "zone",
+    )  # fmt: skip
+
+    def __init__(self, entry: mi.ServerEntry, room: Any) -> None:
+        """`room` is its own, or the one for all servers."""
+        self.id = entry.server
+        self.hash = hash64(entry.server)
+        self.room = room
+        self.ready = False
+        self.inflight = 0  # our attempts out, and failed ones that still count
+        self.started = -1  # forget() follows, as each entry tells of another start
+
+    def count(self, by: int, in_room: bool = True) -> None:
+        """So many more of our attempts are out there."""
+        self.inflight += by
+        self.room.inflight += by * in_room
+
+    def forget(self, tokens: float, held: float, wait_ns: float) -> None:
+        """Start afresh, as for a process that just started."""
+        if self.room.servers == 1:
+            self.room.limit, self.room.rest_until = self.room.start, 0
+        self.down = False
+        self.whole = Suspicion()
+        self.by_class: dict[str, Suspicion] = {}
+        self.silent = self.failed_connects = self.last_ok = 0
+        self.budget = ColdBudget(tokens)
+        self.crowd = Crowd(held * self.weight, wait_ns)
+
+    @property
+    def ejected(self) -> bool:
+        """Is it, or its whole zone, out of use but for trials?"""
+        return self.whole.ejected or self.area.suspicion.ejected
+
+    def ejections(self, name: str) -> list[Suspicion]:
+        """What keeps requests of this class from it, but for trials."""
+        area = self.area.suspicion
+        if not (self.whole.ejected or self.by_class or area.ejected):
+            return []
+        return [s for s in (self.whole, self.by_class.get(name), area) if s is not None and s.ejected]
+
+
 class Attempt:
     """One attempt: at which server, since when, and how it stands."""
 
