--- a/iristrack/limits/cold.py
+++ b/iristrack/limits/cold.py
@@ -21,10 +21,12 @@
 FACTOR = 4.0  # at a contract with this factor the floor is what it promises, at a lower one less
 EARNED = 1.25  # sends that an answer earns; less than the contract's factor less one
 MEMORY_NS = NS_PER_S  # answers count for about so long
-LEAST_PACE = 0.5  # a sidecar among many begins with so much of the floor, at all cold servers
-PACE_STEP = 0.25  # and takes so much more with each good answer of any of them,
+LEAST_PACE = (
+    0.5  # a sidecar among many takes so much of the floor, at all cold servers, where none answers well
+)
+PACE_STEP = 1 / 3  # and takes so much more with each good answer of any of them,
 PACE_CUT = 0.5  # or is left with so much after a late one or none
-IN_HAND = 0.25  # requests of ours at a cold server, beside one, for each that it answered lately
+IN_HAND = 0.5  # requests of ours at a cold server, beside one, for each that it answered lately
 
 
 def granted_share(age_ns: int, cold_share: float, cold_ns: int) -> float:
@@ -44,8 +46,9 @@
     def __init__(self, many: bool, contract: Contract) -> None:
         """`many`: is this one of many sidecars? One of few goes by each server's own answers, at the floor."""
         factor = contract.overload_factor
-        self.least = self.value = LEAST_PACE if many else 1.0
-        self.most = max(self.least, FACTOR * (1 - EARNED / factor)) if many else 1.0
+        self.value = 1.0
+        self.least = LEAST_PACE if many else 1.0
+        self.most = max(1.0, FACTOR * (1 - EARNED / factor)) if many else 1.0
 
     def follow(self, fine: bool) -> None:
         """A cold server answered well in time, or did not."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -319,7 +319,7 @@
         sent += sum(isinstance(a, Send) and a.server == "s0" for _, a in host.log[before:])
     contract = settings().contract
     able = 200 * 2 / 4 * 3 * (contract.cold_share + (1 - contract.cold_share) * 3 / 20)
-    assert able / 20 < sent < able * contract.overload_factor / 2
+    assert able / 10 < sent < able * contract.overload_factor / 2
 
 
 def test_a_server_that_was_long_up_is_not_held_back() -> None:
