Give an answer's room back once, where its server is ejected while it passes

Cause, found by reading the diff: an answer that has begun gives its place back at once; when its server or zone was ejected before it ended, _free_room gave the same place back again, and the common room counted one too few for good. Change: what has given its place back takes none; the room is freed where a server is ejected, no longer by two counts a tick. The three files of tests with processes share one start (tests/stage.py). The new test in test_zones.py fails without it.

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -515,6 +515,7 @@
             self._good(now, request, attempt)
             if not request.cls.spec.stream:  # the work is done; passing on what came of it takes no room
                 attempt.server.count(-1, attempt.in_room)
+                attempt.in_room = False
                 self._serve_waiting(now, attempt.server.room)
 
     def _on_ended(self, now: int, event: mi.AttemptEnded) -> None:
@@ -694,6 +695,8 @@
             if not (server.down or held is area) and out + 1 > MOST_OUT * len(self.ready):
                 return
             held.ejected = True
+            if self.shared is not None and server.ejected:
+                self._free_room()
             self.actions.append(mi.Log(f"server {server.id} ejected: {reason}"))
         held.needed = max(needed, 1)
         held.out_until = now + held.backoff
@@ -712,11 +715,8 @@
             self._measure(now)
         if self.judged >= (ONE_LOOK if now < self.judged_from + mi.NS_PER_S else SHORT_LOOK):
             self._judge_pace(now)
-        before = sum(1 for s in self.ready if s.ejected) if self.shared else 0
         for cls in self.classes.values():
             self._check_overdue(now, cls)
-        if self.shared is not None and sum(1 for s in self.ready if s.ejected) > before:
-            self._free_room(now)
         for request in sorted(self.held.values(), key=lambda r: -r.value):
             # Guards clients that wait in vain: past half of their time a refusal costs them more.
             if self._hopeless(now, request) or now + self.tick_ns > request.decide_by:
@@ -724,7 +724,7 @@
             else:
                 self._send_to_pick(now, request)
 
-    def _free_room(self, now: int) -> None:
+    def _free_room(self) -> None:
         """What is out at servers that fell silent takes no room from the others: it tells of no crowd."""
         for request in self.requests.values():
             attempt = request.attempts[-1] if request.out else None
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -263,6 +263,17 @@
         self.discovery.put(name, pool.address, **more)
         return pool
 
+    def begin(self, name: str, fields: dict) -> Program:
+        """One of several processes: a folder, a door and a seed of its own; `fields` stand above the settings."""
+        folder = self.folder / name
+        folder.mkdir()
+        program = Program(
+            folder, self.discovery, settings=SETTINGS | fields, admin_addr=f"127.0.0.1:{free_port()}",
+            seed=f"{ord(name):x}",
+        )  # fmt: skip
+        self.programs.append(program)
+        return program
+
     def start(self, **changes: object) -> Program:
         self.programs.append(Program(self.folder, self.discovery, **changes))
         return self.programs[-1]
--- a/tests/test_cold_processes.py
+++ b/tests/test_cold_processes.py
@@ -11,7 +11,7 @@
 from collections import Counter
 
 import pytest
-from stage import SETTINGS, Program, Stage, Terminal, call, free_port, until
+from stage import SETTINGS, Program, Stage, Terminal, call, until
 
 from iristrack.net import http
 
@@ -46,17 +46,6 @@
     return servers[:4]
 
 
-def start(stage: Stage, name: str) -> Program:
-    folder = stage.folder / name
-    folder.mkdir()
-    program = Program(
-        folder, stage.discovery, settings=SETTINGS | MANY, admin_addr=f"127.0.0.1:{free_port()}",
-        seed=f"{ord(name):x}",
-    )  # fmt: skip
-    stage.programs.append(program)
-    return program
-
-
 def served(program: Program) -> int:
     return sum(count for name, count in program.figures().items() if name.startswith("succeeded"))
 
@@ -67,7 +56,7 @@
     """With the common room (three at once) taken by them, nothing more would be served until they time out."""
     for server in cold:
         server.hangs = True
-    programs = [start(stage, name) for name in "abc"]
+    programs = [stage.begin(name, MANY) for name in "abc"]
     waiting = []
     for name, program in zip("abc", programs, strict=True):
         for i in range(60):
--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -11,7 +11,7 @@
 from collections import Counter
 
 import pytest
-from stage import SETTINGS, Program, Stage, Terminal, call, free_port, until
+from stage import Program, Stage, Terminal, call, until
 
 from iristrack.net import http
 
@@ -42,16 +42,7 @@
         return http.response(200, b"did", self.report())
 
 
-def start(stage: Stage, name: str) -> Program:
-    folder = stage.folder / name
-    folder.mkdir()
-    fields = {"report": {"how": "answers", "fields": ["err_rps", "avg_ms", "rps", "waiting"]}, "balancers": 2}
-    program = Program(
-        folder, stage.discovery, settings=SETTINGS | fields, admin_addr=f"127.0.0.1:{free_port()}",
-        seed=f"{ord(name):x}",
-    )  # fmt: skip
-    stage.programs.append(program)
-    return program
+TOLD = {"report": {"how": "answers", "fields": ["err_rps", "avg_ms", "rps", "waiting"]}, "balancers": 2}
 
 
 def hold(program: Program, name: str, number: int) -> list[Terminal]:
@@ -80,7 +71,7 @@
 def test_a_sidecar_keeps_off_what_another_fills_and_takes_its_place_when_it_is_killed(
     stage: Stage, node: Node
 ) -> None:
-    busy, light = start(stage, "a"), start(stage, "b")
+    busy, light = stage.begin("a", TOLD), stage.begin("b", TOLD)
     kept = hold(busy, "a", 6)
     until(lambda: node.held["a"] == 6)
     listen(light, "b")
@@ -97,7 +88,7 @@
     stage: Stage, node: Node
 ) -> None:
     node.lies = b"X-Load-Report: TEXT eps=0, latency_ms=1e9, qps=1e9, queue=1e9\r\n"
-    light = start(stage, "b")
+    light = stage.begin("b", TOLD)
     listen(light, "b")  # each is answered: one at a time is always let in
     mine = hold(light, "b", 3)
     assert node.held["b"] == 1
@@ -117,7 +108,7 @@
 )
 def test_reports_that_tell_nothing_hold_nobody_back(stage: Stage, node: Node, report: bytes) -> None:
     node.lies = b"X-Load-Report: " + report + b"\r\n"
-    busy, light = start(stage, "a"), start(stage, "b")
+    busy, light = stage.begin("a", TOLD), stage.begin("b", TOLD)
     kept = hold(busy, "a", 6)
     for i in range(5):
         assert light.ask(f"b-small-{i}", key=f"small{i}").head.status == 200
--- a/tests/test_zone_processes.py
+++ b/tests/test_zone_processes.py
@@ -10,7 +10,7 @@
 import time
 from collections import Counter
 
-from stage import SETTINGS, Program, Stage, Terminal, call, free_port, until
+from stage import Program, Stage, Terminal, call, until
 
 from iristrack.net import http
 
@@ -32,17 +32,6 @@
         return None if sender in self.cut_off else http.response(200, b"did")
 
 
-def start(stage: Stage, name: str) -> Program:
-    folder = stage.folder / name
-    folder.mkdir()
-    program = Program(
-        folder, stage.discovery, settings=SETTINGS | MANY, admin_addr=f"127.0.0.1:{free_port()}",
-        seed=f"{ord(name):x}",
-    )  # fmt: skip
-    stage.programs.append(program)
-    return program
-
-
 def served(program: Program) -> int:
     return sum(count for name, count in program.figures().items() if name.startswith("succeeded"))
 
@@ -64,7 +53,7 @@
     for i in range(12):
         stage.pool(f"s{i}", near if i % 2 else far, locality="a" if i % 2 else "b")
     names = "abc"
-    programs = [start(stage, name) for name in names]
+    programs = [stage.begin(name, MANY) for name in names]
     for name, program in zip(names, programs, strict=True):
         for terminal in send(program, name, 150):
             assert terminal.read().head.status == 200
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from iristrack.interface import Log, Outcome, Send
+from iristrack.interface import AttemptStarted, Log, Outcome, Send
 from iristrack.zones.silence import FEWEST_SILENT, MOST_ZONES, Zones
 
 
@@ -123,6 +123,23 @@
     assert again == {"z0", "z1"}
 
 
+def test_an_answer_that_passes_while_its_zone_is_held_gives_its_room_back_once(host: Host) -> None:
+    room = host.balancer.shared
+    passing = host.ask(key="passing")
+    while host.balancer.servers[host.attempts[passing][0]].zone != "z1":
+        host.end(passing)
+        passing = host.ask(key=f"passing{host.count}")
+    host.wait(MS)
+    host.do(AttemptStarted(passing, 0, host.attempts[passing][0]))
+    assert room.inflight == 0
+    host.wait(MS)
+    waiting = cut(host, "z1", 60, 10 * MS)
+    assert holds(host)
+    for request in (passing, *waiting):
+        host.end_all(request, Outcome.OK)
+    assert room.inflight == 0
+
+
 def test_a_zone_with_one_bad_server_is_not_held(host: Host) -> None:
     for i in range(200):
         request = host.ask(key=f"one{i}")
