Serve requests that have no key: they come as GET /api, which was answered 404

At fault: net/front.py _TARGET asked for a last part of the path, which a customer without keys has not. Change: the last part, if any, is the key. And what failed without a key is not kept to be matched with a client's retry (balance.py _remember_failure): nothing tells whose try it was, and the next one's retry was refused as too old.

--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -472,7 +472,9 @@
         self._finish(request)
 
     def _remember_failure(self, request: _Open) -> None:
-        if self.settings.marks_retries:
+        if (
+            self.settings.marks_retries and request.event.key is not None
+        ):  # else nothing tells whose try it was
             if len(self.failures) >= REMEMBERED_FAILURES:
                 del self.failures[next(iter(self.failures))]
             event = request.event
--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -61,7 +61,7 @@
 LONGEST_TARGET = 2048  # keys are remembered, so that their length bounds memory
 LONGEST_BUDGET_NS = 3600 * mi.NS_PER_S
 
-_TARGET = re.compile(rb"/api/(?:[^?#]*/)?([^/?#]+)(?:\?[^#]*)?\Z")
+_TARGET = re.compile(rb"/api(?:/(?:[^?#]*/)?([^/?#]+)?)?(?:\?[^#]*)?\Z")  # the last part, if any, is the key
 _ID = re.compile(rb"[\x21-\x7e]{1,200}\Z")
 _BUDGET = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,9})?)([mu])\Z")
 _UNIT_NS = {b"m": mi.NS_PER_MS, b"u": 1000}
@@ -640,7 +640,7 @@
             passage,
             long=long,
             budget_ns=budget_ns,
-            key=place[1].decode("latin-1"),
+            key=None if place[1] is None else place[1].decode("latin-1"),
             tenant=None if tenant is None else tenant.decode("latin-1"),
             retry=fields.get(b"x-again") == b"1",
             work_hint_ns=further.get("predicted_ns", 0),
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -223,7 +223,8 @@
     )  # fmt: skip
     if name == "pay":
         lines += b"Idempotency-Key: key-%b\r\n" % call_id.encode()
-    return http.request(b"POST" if name == "pay" else b"GET", b"/api/%b?q=1" % key.encode(), lines, body)
+    path = b"/api/%b?q=1" % key.encode() if key else b"/api"
+    return http.request(b"POST" if name == "pay" else b"GET", path, lines, body)
 
 
 class Terminal:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -276,6 +276,14 @@
     assert host.ask("read", "a") in host.attempts
 
 
+def test_a_retry_without_a_key_is_nobodys_first_try() -> None:
+    host = Host(settings(marks_retries=True))
+    first = host.ask("read", None)
+    host.wait(395 * MS)
+    host.end_all(first, Outcome.TIMEOUT)
+    assert host.ask("read", None, retry=True) in host.attempts
+
+
 def crowd(host: Host, rounds: int) -> None:
     """A server that answers everything too late, round after round."""
     for _ in range(rounds):
