--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -245,13 +245,13 @@
 
     def _held(self) -> int:
         """About how many descriptors this process has open."""
-        return len(self.terminals) + self.sidecar.links + handover.OWN
+        return len(self.terminals) + self.sidecar.links.open + handover.OWN
 
     def _resize(self, elsewhere: int) -> None:
         """Size connections for the configured limits, less the descriptors that the other process holds."""
         config = self.sidecar.config
         left = max(config.sockets - elsewhere, config.sockets // 4)
-        self.most, self.sidecar.most_links = most_connections(replace(config, sockets=left))
+        self.most, self.sidecar.links.most = most_connections(replace(config, sockets=left))
         self.many = min(int(config.sockets * MANY), self.most // 2)
         self._resume_accepting()
 
@@ -277,7 +277,7 @@
 
     def _close_listener(self) -> None:
         if self.handover.has_successor:
-            self.sidecar.close_idle()
+            self.sidecar.links.stop()
         else:
             while self._accepting and self._accept():  # what the kernel has accepted already is taken
                 pass
--- /dev/null
+++ b/iristrack/net/links.py
@@ -0,0 +1,256 @@
+"""Connections to pool servers: which are open, which rest, and where each server is.
+
+This file owns every connection to a pool server and the table of servers as the sockets know them; discovery's own
+calls borrow its `Link` and `connect`. It must never pick a server or decide whether something is sent: it is told.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+from collections.abc import Callable, Iterable
+
+from iristrack import interface as mi
+from iristrack.config import Address
+from iristrack.net import http
+from iristrack.net.scheduler import READ, WRITE, Scheduler, clock, send_all
+
+IDLE_USED = 0.9  # a connection is retired after this share of the time that its server keeps it idle
+SWEEP_NS = mi.NS_PER_S
+FORGET_NS = 10 * mi.NS_PER_S  # what drains or is gone is forgotten so long after its grace
+RECEIVE = 64 * 1024
+
+
+class Link:
+    """One connection to a pool server or to discovery."""
+
+    __slots__ = ("fd", "idle_since", "reader", "scheduler", "sock", "target")
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        sock: socket.socket,
+        target: Target | None,
+        limit: int = http.LONGEST_BODY,
+        whole: int = http.MAX_BODY,
+    ) -> None:
+        """`target` is None for discovery's."""
+        self.scheduler = scheduler
+        self.sock = sock
+        self.fd = sock.fileno()
+        self.target = target
+        self.reader = http.Reader(response=True, limit=limit, whole=whole)
+        self.idle_since = 0
+
+    def write(self, data: bytes, deadline: int) -> None:
+        """Write it all."""
+        send_all(self.sock, data, lambda: self.scheduler.wait(self.fd, WRITE, deadline))
+
+    def read(self, deadline: int, hold_ns: int = 0) -> http.Message | None:
+        """The next message; None where it is a long one, or after `hold_ns` one that does not tell its length."""
+        reader, until = self.reader, deadline
+        while True:
+            try:
+                self.scheduler.wait(self.fd, READ, until)
+            except TimeoutError:
+                if until < deadline:
+                    return None
+                raise
+            try:
+                data = self.sock.recv(RECEIVE)
+            except BlockingIOError:
+                continue
+            message = reader.feed(data) if data else reader.end()
+            if message is not None:
+                return message
+            if reader.long:
+                return None
+            if not data:
+                raise ConnectionResetError("closed before an answer")
+            if hold_ns and until == deadline and reader.unmeasured and reader.head.status == 200:
+                until = min(deadline, clock() + hold_ns)
+
+    def quiet(self) -> bool:
+        """Is there neither an end nor unasked bytes on it?"""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+class Target:
+    """A pool server as the sockets know it."""
+
+    __slots__ = ("address", "away_since", "id", "idle", "listed")
+
+    def __init__(self, server: str, address: Address) -> None:
+        """Nothing is open."""
+        self.id = server
+        self.address = address
+        self.away_since: int | None = None  # when the server list first said that it drains or is gone
+        self.idle: list[Link] = []  # the most recently used last
+        self.listed = True  # does the server list hold it, ready or draining?
+
+
+def connect(scheduler: Scheduler, address: Address, deadline: int) -> socket.socket:
+    """A connection that is up; raises `OSError` where it does not come up in time."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex(address)
+        if code == errno.EINPROGRESS:
+            scheduler.wait(sock.fileno(), WRITE, deadline)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, os.strerror(code))
+        return sock
+    except BaseException:
+        sock.close()
+        raise
+
+
+class Links:
+    """All connections to pool servers of one sidecar."""
+
+    def __init__(self, scheduler: Scheduler, idle_ns: int, most: int) -> None:
+        """`idle_ns` is how long servers keep an idle one, `most` how many may be open."""
+        self.scheduler = scheduler
+        self.idle_ns = int(idle_ns * IDLE_USED)
+        self.most = most
+        self.open = 0
+        self.targets: dict[str, Target] = {}
+        self.connect: Callable[..., socket.socket] = connect
+        self.opened = self.reused = self.stale = 0  # since the last report
+        self._closing = False
+
+    def start(self) -> None:
+        """Look after idle ones from now on."""
+        self.scheduler.call_at(clock() + SWEEP_NS, self._sweep)
+
+    def take(self, server: str, deadline: int) -> Link | None:
+        """An idle connection, the most recently used first, or a new one; None where none can be had."""
+        target = self.targets.get(server)
+        if target is None:
+            return None
+        oldest = clock() - self.idle_ns
+        while target.idle:
+            link = target.idle.pop()
+            self.scheduler.unwatch(link.fd)
+            if link.idle_since > oldest and link.quiet():
+                self.reused += 1
+                return link
+            # Guards against writing to a connection that the server has closed or is about to: that would
+            # end as a reset, after which a keyed request cannot be sent anywhere else.
+            self.stale += 1
+            self.close(link)
+        if self.open >= self.most and not self._close_oldest():
+            return None
+        self.opened += 1
+        self.open += 1
+        try:
+            return Link(self.scheduler, self.connect(self.scheduler, target.address, deadline), target)
+        except BaseException:
+            self.open -= 1
+            raise
+
+    def put_back(self, link: Link) -> None:
+        """It can be used again."""
+        target = link.target
+        if self._closing or self.targets.get(target.id) is not target or target.away_since is not None:
+            self.close(link)
+            return
+        link.idle_since = clock()
+        target.idle.append(link)
+
+        def broken() -> None:
+            self.scheduler.unwatch(link.fd)
+            target.idle.remove(link)
+            self.close(link)
+
+        self.scheduler.watch(link.fd, broken)
+
+    def close(self, link: Link) -> None:
+        """It was taken, and ends here."""
+        link.sock.close()
+        self.open -= 1
+
+    def close_idle(self, server: str) -> None:
+        """Keep none of those that rest at a server."""
+        target = self.targets.get(server)
+        if target is not None:
+            self._close_all(target)
+
+    def stop(self) -> None:
+        """Keep no idle connections from now on: their descriptors are another process's."""
+        self._closing = True
+        for target in self.targets.values():
+            self._close_all(target)
+
+    def _retire(self, target: Target, link: Link) -> None:
+        target.idle.remove(link)
+        self.scheduler.unwatch(link.fd)
+        self.close(link)
+
+    def _close_all(self, target: Target) -> None:
+        for link in list(target.idle):
+            self._retire(target, link)
+
+    def _close_oldest(self) -> bool:
+        """Give up the idle connection that was used longest ago, for its descriptor."""
+        firsts = [t.idle[0] for t in self.targets.values() if t.idle]
+        if not firsts:
+            return False
+        oldest = min(firsts, key=lambda link: link.idle_since)
+        self._retire(oldest.target, oldest)
+        return True
+
+    def _sweep(self) -> None:
+        """Close what has been idle for almost as long as the servers keep it."""
+        oldest = clock() - self.idle_ns
+        for target in self.targets.values():
+            while target.idle and target.idle[0].idle_since <= oldest:
+                self._retire(target, target.idle[0])
+        self.scheduler.call_at(clock() + SWEEP_NS, self._sweep)
+
+    # ---- where each server is
+
+    def follow(self, entries: Iterable[tuple[mi.ServerEntry, Address]], whole: bool) -> None:
+        """Take what the server list says; a `whole` one names all there are."""
+        now = clock()
+        if whole:
+            named = {entry.server for entry, _ in entries}
+            for target in [t for t in self.targets.values() if t.id not in named]:
+                self._set_away(target, now)
+                target.listed = False
+        for entry, address in entries:
+            target = self.targets.get(entry.server)
+            if target is None:
+                target = self.targets[entry.server] = Target(entry.server, address)
+            elif target.address != address:
+                self._close_all(target)
+                # Another object: connections to the old address that are in use are not put back.
+                fresh = self.targets[entry.server] = Target(entry.server, address)
+                fresh.away_since = target.away_since
+                target = fresh
+            target.listed = entry.state is not mi.ServerState.GONE
+            if entry.state is mi.ServerState.READY:
+                target.away_since = None
+            else:
+                self._set_away(target, now)
+
+    def _set_away(self, target: Target, now: int) -> None:
+        if target.away_since is None:
+            target.away_since = now
+            self._close_all(target)
+
+    def forget_gone(self, grace_ns: int) -> None:
+        """Guards memory: a fleet whose machines are replaced for months names ever new servers."""
+        long_ago = clock() - grace_ns - FORGET_NS
+        for target in list(self.targets.values()):
+            if target.away_since is not None and target.away_since < long_ago:
+                del self.targets[target.id]
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -1,6 +1,7 @@
 """The core: one `Balancer`, fed with events and obeyed action by action, directly on the sockets.
 
-This file owns transactions, routed tasks, connections to pool servers, probes, timers and the service table.
+This file owns transactions, routed tasks, probes and timers; connections to pool servers are `links.py`'s, calls to
+discovery `discovery.py`'s.
 It must never pick a pool server, retry or refuse by its own taste: decisions come from `balance.py` alone.
 It does not know how terminals speak: a front hands it transactions, which hold nothing of the front's
 protocol, and gets each one's only answer through `deliver`.
@@ -10,15 +11,11 @@
 
 import errno
 import gc
-import json
-import os
-import socket
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from enum import Enum
 from math import isfinite
-from random import Random
 from time import process_time
 from typing import Protocol
 
@@ -26,37 +23,21 @@
 
 from iristrack import interface as mi
 from iristrack.balance import Balancer
-from iristrack.config import REPORT_NAMES, Address, Config, read_address
+from iristrack.config import REPORT_NAMES, Address, Config
 from iristrack.net import http
+from iristrack.net.discovery import Discovery, Entries
+from iristrack.net.links import RECEIVE, Link, Links, Target
 from iristrack.net.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock, send_all
 
 MS = mi.NS_PER_MS
 REPLY_MARGIN_NS = 8 * MS  # what is kept back of a client's patience, for the answer's own way
-WATCH_WAIT_MS = 2000  # how long discovery may hold a watch
-DISCOVERY_SLACK_NS = 700 * MS  # and how much later its silence counts as a failure
-DISCOVERY_PAUSE_NS = 50 * MS  # between a failed call and the next; it doubles with each that fails
-LONGEST_PAUSE_NS = (
-    200 * MS,
-    2000 * MS,
-)  # up to that many ms for each sidecar of the fleet, within these bounds
-SPREAD_NS = 20 * MS  # the first call waits for a draw of up to that much for each sidecar,
-LONGEST_SPREAD_NS = mi.NS_PER_S  # and no longer
-DISCOVERY_BODY = 1 << 20
 STALL_NS = 10 * mi.NS_PER_S  # a peer of a long message that neither gives nor takes for so long is given up
 HOLD_NS = 100 * MS  # an answer of unknown length is begun so long after its head if it is not whole by then
 LONG_SHARE = 8  # this part of the memory limit is for what long messages hold, between all of them
 LEAST_PIECE = 4 * 1024
-IDLE_USED = 0.9  # a connection is retired after this share of the time that its server keeps it idle
-SWEEP_NS = mi.NS_PER_S
 REPORT_EVERY_NS = 10 * mi.NS_PER_S
 OWN_DESCRIPTORS = 24  # standard streams, listener, poll, discovery and some in hand
 DOOR_DESCRIPTORS = 36  # and what the operators' door may hold, where there is one
-RECEIVE = 64 * 1024
-STATES = {
-    "in_service": mi.ServerState.READY,
-    "terminating": mi.ServerState.DRAINING,
-    "terminated": mi.ServerState.GONE,
-}
 
 
 class Ending(Enum):
@@ -155,38 +136,6 @@
         return self.give_up_ns if self.whole and not self.begun else None
 
 
-class _Link:
-    """One connection to a pool server or to discovery."""
-
-    __slots__ = ("fd", "idle_since", "reader", "sock", "target")
-
-    def __init__(
-        self,
-        sock: socket.socket,
-        target: _Target | None,
-        limit: int = http.LONGEST_BODY,
-        whole: int = http.MAX_BODY,
-    ) -> None:
-        self.sock = sock
-        self.fd = sock.fileno()
-        self.target = target
-        self.reader = http.Reader(response=True, limit=limit, whole=whole)
-        self.idle_since = 0
-
-
-class _Target:
-    """A pool server as the sockets know it."""
-
-    __slots__ = ("address", "away_since", "id", "idle", "listed")
-
-    def __init__(self, server: str, address: Address) -> None:
-        self.id = server
-        self.address = address
-        self.away_since: int | None = None  # when the service table first said that it drains or is gone
-        self.idle: list[_Link] = []  # the most recently used last
-        self.listed = True  # does the service table hold it, ready or draining?
-
-
 @dataclass(slots=True)
 class Counts:
     """What happened since the last report."""
@@ -196,9 +145,6 @@
     short: int = 0
     failed: int = 0
     gone: int = 0
-    opened: int = 0
-    reused: int = 0
-    stale: int = 0
     worst_pause_ns: int = 0
 
 
@@ -216,10 +162,6 @@
         self.outstanding = 0  # transactions taken and not ended
 
 
-class _Busy(ValueError):
-    """Discovery refused a call, and its connection can be used again."""
-
-
 class Sidecar:
     """Carries out the balancer's decisions."""
 
@@ -230,27 +172,22 @@
         self.settings = config.settings
         self.balancer = Balancer(config.settings, config.seed, learned)
         self.transactions: dict[str, Transaction] = {}
-        self.targets: dict[str, _Target] = {}
         self.passing = 0  # long messages on their way
-        self.links = 0  # open connections to pool servers
-        self.most_links = most_connections(config)[1]
-        self.ready = False  # can it serve: is there a service table?
+        self.ready = False  # can it serve: is there a server list?
         self.counts = Counts()
         self.figures = Figures(config.settings.classes)
         self.trace = (
             False  # a DEBUG line for each routed task and each answer, by call id (`--log-level DEBUG`)
         )
-        self.watching: Task | None = None
-        self._revision: int | None = None
-        self._told = False  # is what changed since that revision all that is missing here?
-        self._random = Random(config.seed)  # spreads calls to discovery over the fleet, and nothing else
-        self._list_wanted = False
-        self._stopping = False
         self._cpu = process_time()
         self._gc_began = 0
         limits = self.settings.limits
         self.connect_timeout_ns = limits.connect_timeout_ns or mi.NS_PER_S
-        self.idle_ns = int((limits.idle_ns or 60 * mi.NS_PER_S) * IDLE_USED)
+        self.links = Links(scheduler, limits.idle_ns or 60 * mi.NS_PER_S, most_connections(config)[1])
+        self.discovery = Discovery(
+            scheduler, config.discovery, config.settings, config.seed, self._take_list,
+            lambda: self.feed(mi.ServerList(mi.ListKind.FAILED)),
+        )  # fmt: skip
         self.probe_timeout_ns = min(c.aim_ns for c in self.settings.classes)
         self.actions: dict[type, Callable[..., None]] = {
             mi.Send: self._send,
@@ -261,54 +198,42 @@
                 clock() + a.delay_ns, self.feed, mi.TimerFired(a.token)
             ),
             mi.Probe: lambda a: self.scheduler.spawn("probe", self._probe, a.server),
-            mi.CloseIdle: lambda a: self._close_idle(a.server),
+            mi.CloseIdle: lambda a: self.links.close_idle(a.server),
             mi.PeerSend: lambda a: logger.warning("no way to other sidecars here: a message is dropped"),
-            mi.Subscribe: lambda a: self._subscribe(a.wanted),
-            mi.FetchList: lambda a: self.scheduler.spawn("list", self._fetch_list),
+            mi.Subscribe: lambda a: self.discovery.subscribe(a.wanted),
+            mi.FetchList: lambda a: self.discovery.fetch(),
             mi.Log: lambda a: logger.info("{}", a.text),
         }
 
     # ---- life
 
     def start(self) -> None:
-        """Take the last known service table, then follow discovery."""
+        """Take the last known server list, then follow discovery."""
         gc.callbacks.append(self._on_gc)
-        try:
-            self._take_table(self.config.known, mi.ListKind.CACHED)
-            if self.targets and self.config.known.get("complete"):
-                self._revision, self._told = self.config.known["revision"], True
-        except ValueError as fault:
-            logger.warning("the known service table is left out: {}", fault)
-        if not self.settings.ask_for_list:
-            self._subscribe(True)
-        self.scheduler.call_at(clock() + SWEEP_NS, self._sweep)
+        self.discovery.start(self.config.known)
+        self.links.start()
         self.scheduler.call_at(clock() + REPORT_EVERY_NS, self._report_regularly)
 
-    def follow(self, discovery: Address) -> None:
-        """Discovery is elsewhere from now on: watch it there at once. Nothing else changes.
+    def _take_list(self, kind: mi.ListKind, revision: int, entries: Entries) -> None:
+        """What discovery says: the sockets follow it, then the module hears of it."""
+        self.links.follow(entries, kind is not mi.ListKind.DELTA)
+        if entries or kind is not mi.ListKind.DELTA:
+            self.feed(mi.ServerList(kind, tuple(entry for entry, _ in entries), revision))
+        self.links.forget_gone(self.settings.contract.drain_grace_ns)
+        self.ready = self.ready or bool(entries) or kind is mi.ListKind.FULL
 
-        What is known of pool servers holds until the new one tells its whole list; its revisions are its own.
-        """
-        if discovery == self.config.discovery:
-            return
-        self.config = replace(self.config, discovery=discovery)
-        self._revision, self._told = None, False
-        if self.watching is not None and not self.watching.done:
-            self._subscribe(False)
-            self._subscribe(True)
+    def follow(self, discovery: Address) -> None:
+        """Discovery is elsewhere from now on, or where it was."""
+        if discovery != self.config.discovery:
+            self.config = replace(self.config, discovery=discovery)
+            self.discovery.follow(discovery)
 
     def stop(self) -> None:
         """End what runs beside the transactions."""
-        self._subscribe(False)
-        self.close_idle()
+        self.discovery.subscribe(False)
+        self.links.stop()
         self.report()
 
-    def close_idle(self) -> None:
-        """Keep no connections to pool servers from now on: their descriptors are another process's."""
-        self._stopping = True
-        for target in self.targets.values():
-            self._close_all(target)
-
     def _on_gc(self, phase: str, info: dict) -> None:
         if phase == "start":
             self._gc_began = clock()
@@ -321,16 +246,17 @@
 
     def report(self) -> None:
         """One line for the on-call staff: what was done, at which cost, and how late the loop ran."""
-        counts, scheduler, cpu = self.counts, self.scheduler, process_time()
+        counts, links, scheduler, cpu = self.counts, self.links, self.scheduler, process_time()
         if counts.taken:
             logger.info(
                 "taken {} served {} short {} failed {} gone {}; connections opened {} reused {} stale {}"
                 " open {}; cpu {:.2f} ms each; worst turn {:.1f} ms, timer {:.1f} ms late, gc {:.1f} ms",
-                counts.taken, counts.served, counts.short, counts.failed, counts.gone, counts.opened,
-                counts.reused, counts.stale, self.links, (cpu - self._cpu) * 1e3 / counts.taken,
+                counts.taken, counts.served, counts.short, counts.failed, counts.gone, links.opened,
+                links.reused, links.stale, links.open, (cpu - self._cpu) * 1e3 / counts.taken,
                 scheduler.worst_turn_ns / 1e6, scheduler.worst_late_ns / 1e6, counts.worst_pause_ns / 1e6,
             )  # fmt: skip
         self.counts = Counts()
+        links.opened = links.reused = links.stale = 0
         self._cpu = cpu
         scheduler.worst_turn_ns = scheduler.worst_late_ns = 0
 
@@ -444,7 +370,7 @@
         return told | {
             "forwards": figures.forwards,
             "outstanding": figures.outstanding,
-            "discovered": sum(1 for target in self.targets.values() if target.listed),
+            "discovered": sum(1 for target in self.links.targets.values() if target.listed),
             "ejected": self.balancer.avoided(),
         }
 
@@ -533,18 +459,18 @@
             self.scheduler.checkpoint()
             if long and not transaction.kept:
                 return mi.Outcome.NOT_SENT, None  # its beginning is no longer here
-            link = self._take_link(server, min(deadline, began + self.connect_timeout_ns))
+            link = self.links.take(server, min(deadline, began + self.connect_timeout_ns))
             if link is None or not self._may_begin(server, link.target):
                 return mi.Outcome.NOT_SENT, None
             left = transaction.budget_ns if long else deadline - clock()
-            self._write(link, encode(left), deadline)
+            link.write(encode(left), deadline)
             if long:
                 if not self._pass_request(link, transaction, number):
                     return self._early(link)
                 deadline = transaction.give_up_ns - REPLY_MARGIN_NS
             written = True
             self.figures.forwards += transaction is not None
-            message = self._read(link, deadline, HOLD_NS if transaction is not None else 0)
+            message = link.read(deadline, HOLD_NS if transaction is not None else 0)
             if message is None:
                 message = http.Message(link.reader.head, b"")
                 outcome = _classify(message)
@@ -564,7 +490,7 @@
             return mi.Outcome.RESET, None  # it was written whole, and may have run
         finally:
             if link is not None:
-                self._put_back(link) if keep else self._close(link)
+                self.links.put_back(link) if keep else self.links.close(link)
 
     # ---- long messages
 
@@ -573,16 +499,16 @@
 
         Each holds one piece while it waits, and as much again while it is framed for the other side.
         """
-        room = (self.config.memory_mb << 20) // LONG_SHARE or RECEIVE * self.most_links
+        room = (self.config.memory_mb << 20) // LONG_SHARE or RECEIVE * self.links.most
         return max(LEAST_PIECE, min(RECEIVE, room // (2 * max(1, self.passing))))
 
-    def _pass_request(self, link: _Link, transaction: Transaction, number: int) -> bool:
+    def _pass_request(self, link: Link, transaction: Transaction, number: int) -> bool:
         """Pass on the body of a long request as it comes; false where the pool server spoke before its end."""
         self.passing += 1
         try:
             while data := transaction.passage.read(self.piece()):
                 transaction.kept = False
-                if not _is_quiet(link.sock):
+                if not link.quiet():
                     return False
                 send_all(link.sock, data, lambda: self.scheduler.wait(link.fd, WRITE, clock() + STALL_NS))
         finally:
@@ -595,10 +521,10 @@
         self.feed(mi.AttemptWritten(transaction.id, number, transaction.give_up_ns - REPLY_MARGIN_NS))
         return True
 
-    def _early(self, link: _Link) -> tuple[mi.Outcome, http.Message | None]:
+    def _early(self, link: Link) -> tuple[mi.Outcome, http.Message | None]:
         """What a pool server said before a long request's end: it never began that, whatever it says."""
         try:
-            message = self._read(link, clock() + self.connect_timeout_ns, 0)
+            message = link.read(clock() + self.connect_timeout_ns)
         except (OSError, http.Malformed, http.Truncated):
             return mi.Outcome.CONNECT_FAILED, None  # broken before the last byte
         if message is not None and _classify(message) is mi.Outcome.REJECTED:
@@ -606,7 +532,7 @@
         return mi.Outcome.CONNECT_FAILED, None
 
     def _pass_answer(
-        self, link: _Link, transaction: Transaction, number: int, server: str, began: int
+        self, link: Link, transaction: Transaction, number: int, server: str, began: int
     ) -> None:
         """Pass on an answer as it comes. It is the terminal's from now on: only silence ends it."""
         reader, passage = link.reader, transaction.passage
@@ -630,139 +556,17 @@
         finally:
             self.passing -= 1
 
-    def _may_begin(self, server: str, target: _Target) -> bool:
+    def _may_begin(self, server: str, target: Target) -> bool:
         """Look once more at the first byte: a connection takes time to come up, and the list may change.
 
         Rule 3: the drain grace must not be over. And where the address has moved, the old one may be
         somebody else's by now.
         """
-        if self.targets.get(server) is not target:
+        if self.links.targets.get(server) is not target:
             return False
         grace = self.settings.contract.drain_grace_ns
         return target.away_since is None or clock() < target.away_since + grace
 
-    # ---- connections
-
-    def _take_link(self, server: str, deadline: int) -> _Link | None:
-        """An idle connection, the most recently used first, or a new one; None where none can be had."""
-        target = self.targets.get(server)
-        if target is None:
-            return None
-        oldest = clock() - self.idle_ns
-        while target.idle:
-            link = target.idle.pop()
-            self.scheduler.unwatch(link.fd)
-            if link.idle_since > oldest and _is_quiet(link.sock):
-                self.counts.reused += 1
-                return link
-            # Guards against writing to a connection that the server has closed or is about to: that would
-            # end as a reset, after which a keyed request cannot be sent anywhere else.
-            self.counts.stale += 1
-            self._close(link)
-        if self.links >= self.most_links and not self._close_oldest():
-            return None
-        self.counts.opened += 1
-        self.links += 1
-        try:
-            return _Link(self._connect(target.address, deadline), target)
-        except BaseException:
-            self.links -= 1
-            raise
-
-    def _connect(self, address: Address, deadline: int) -> socket.socket:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            code = sock.connect_ex(address)
-            if code == errno.EINPROGRESS:
-                self.scheduler.wait(sock.fileno(), WRITE, deadline)
-                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if code:
-                raise OSError(code, os.strerror(code))
-            return sock
-        except BaseException:
-            sock.close()
-            raise
-
-    def _write(self, link: _Link, data: bytes, deadline: int) -> None:
-        send_all(link.sock, data, lambda: self.scheduler.wait(link.fd, WRITE, deadline))
-
-    def _read(self, link: _Link, deadline: int, hold_ns: int = 0) -> http.Message | None:
-        """The next message; None where it is a long one, or after `hold_ns` one that does not tell its length."""
-        reader, until = link.reader, deadline
-        while True:
-            try:
-                self.scheduler.wait(link.fd, READ, until)
-            except TimeoutError:
-                if until < deadline:
-                    return None
-                raise
-            try:
-                data = link.sock.recv(RECEIVE)
-            except BlockingIOError:
-                continue
-            message = reader.feed(data) if data else reader.end()
-            if message is not None:
-                return message
-            if reader.long:
-                return None
-            if not data:
-                raise ConnectionResetError("closed before an answer")
-            if hold_ns and until == deadline and reader.unmeasured and reader.head.status == 200:
-                until = min(deadline, clock() + hold_ns)
-
-    def _put_back(self, link: _Link) -> None:
-        target = link.target
-        if self._stopping or self.targets.get(target.id) is not target or target.away_since is not None:
-            self._close(link)
-            return
-        link.idle_since = clock()
-        target.idle.append(link)
-
-        def broken() -> None:
-            self.scheduler.unwatch(link.fd)
-            target.idle.remove(link)
-            self._close(link)
-
-        self.scheduler.watch(link.fd, broken)
-
-    def _close(self, link: _Link) -> None:
-        link.sock.close()
-        if link.target is not None:
-            self.links -= 1
-
-    def _retire(self, target: _Target, link: _Link) -> None:
-        target.idle.remove(link)
-        self.scheduler.unwatch(link.fd)
-        self._close(link)
-
-    def _close_all(self, target: _Target) -> None:
-        for link in list(target.idle):
-            self._retire(target, link)
-
-    def _close_idle(self, server: str) -> None:
-        target = self.targets.get(server)
-        if target is not None:
-            self._close_all(target)
-
-    def _close_oldest(self) -> bool:
-        """Give up the idle connection that was used longest ago, for its descriptor."""
-        firsts = [t.idle[0] for t in self.targets.values() if t.idle]
-        if not firsts:
-            return False
-        oldest = min(firsts, key=lambda link: link.idle_since)
-        self._retire(oldest.target, oldest)
-        return True
-
-    def _sweep(self) -> None:
-        """Close what has been idle for almost as long as the servers keep it."""
-        oldest = clock() - self.idle_ns
-        for target in self.targets.values():
-            while target.idle and target.idle[0].idle_since <= oldest:
-                self._retire(target, target.idle[0])
-        self.scheduler.call_at(clock() + SWEEP_NS, self._sweep)
-
     # ---- probes
 
     def _probe(self, server: str) -> None:
@@ -775,149 +579,6 @@
             report = _load_report(message.body or message.head.fields.get(b"x-load-report"))
         self.feed(mi.ProbeEnded(server, outcome, clock() - began, report))
 
-    # ---- the service table
-
-    def _subscribe(self, wanted: bool) -> None:
-        if wanted and (self.watching is None or self.watching.done):
-            self.watching = self.scheduler.spawn("watch", self._watch)
-        elif not wanted and self.watching is not None:
-            self.watching.cancel()
-            self.watching = None
-
-    def _watch(self) -> None:
-        """Follow discovery, one call after another on one connection.
-
-        Where no list is known, the whole one comes first; after that what changed since the last answer.
-        """
-        link: _Link | None = None
-        failed, well = 0, False
-        try:
-            if self._told:
-                # Guards discovery against a fleet that starts at one moment: what is known will do meanwhile.
-                spread = min(SPREAD_NS * self.settings.balancers, LONGEST_SPREAD_NS)
-                self.scheduler.sleep(int(spread * self._random.random()))
-            while True:
-                try:
-                    if link is None:
-                        link = self._call_discovery()
-                    wait_ms = WATCH_WAIT_MS if self._revision is not None and self._told else 0
-                    self._told = self._ask_discovery(link, wait_ms)
-                    if not link.reader.empty:
-                        raise http.Malformed(502, "more than was asked for")
-                    if failed or not well:
-                        failed, well = 0, True
-                        logger.info("discovery answers: {} pool servers are known", len(self.targets))
-                except Cancelled:
-                    raise
-                except Exception as fault:
-                    # Discovery may be down, silent or speak garbage of any kind (JSON too deep to read, for
-                    # one): that ends this call only. Without its watch the sidecar would go blind.
-                    logger.log("DEBUG" if failed else "WARNING", "discovery fails: {!r}", fault)
-                    failed += 1
-                    if link is not None and not isinstance(fault, _Busy):
-                        link.sock.close()
-                        link = None
-                    if self.settings.ask_for_list:
-                        self.feed(mi.ServerList(mi.ListKind.FAILED))
-                        return
-                    self.scheduler.sleep(self._pause(failed))
-        finally:
-            if link is not None:
-                link.sock.close()
-
-    def _pause(self, failed: int) -> int:
-        """How long (ns) to leave discovery alone after so many failed calls in a row.
-
-        Guards a discovery that is short of room: a fleet that asks again at once, in step, keeps it so.
-        """
-        least, most = LONGEST_PAUSE_NS
-        longest = min(max(DISCOVERY_PAUSE_NS * self.settings.balancers, least), most)
-        return int(min(DISCOVERY_PAUSE_NS << min(failed - 1, 16), longest) * (0.5 + self._random.random()))
-
-    def _fetch_list(self) -> None:
-        link: _Link | None = None
-        try:
-            link = self._call_discovery()
-            self._ask_discovery(link, 0)
-        except (OSError, ValueError, http.Malformed, http.Truncated):
-            if self.settings.ask_for_list:
-                self.feed(mi.ServerList(mi.ListKind.FAILED))
-        finally:
-            if link is not None:
-                link.sock.close()
-
-    def _call_discovery(self) -> _Link:
-        deadline = clock() + DISCOVERY_SLACK_NS
-        return _Link(self._connect(self.config.discovery, deadline), None, DISCOVERY_BODY, DISCOVERY_BODY)
-
-    def _ask_discovery(self, link: _Link, wait_ms: int) -> bool:
-        """One call: the whole list, or with a wait what changed. False: the whole list is to be asked for."""
-        target = b"/catalog/members"
-        if wait_ms:
-            target += b"?index=%d&wait=%d" % (self._revision, wait_ms)
-        deadline = clock() + wait_ms * MS + DISCOVERY_SLACK_NS
-        host = b"Host: %b:%d\r\n" % (self.config.discovery[0].encode(), self.config.discovery[1])
-        self._write(link, http.request(b"GET", target, host), deadline)
-        message = self._read(link, deadline)
-        if message.head.status != 200:
-            usable = message.head.keeps_alive and link.reader.empty
-            raise (_Busy if usable else ValueError)(f"status {message.head.status}")
-        before = self._revision
-        self._take_table(json.loads(message.body), None)
-        if not message.head.keeps_alive:
-            raise ConnectionResetError("closed by discovery")
-        # Guards against a discovery that started anew: it would wait for a revision that is long past.
-        return before is None or self._revision >= before
-
-    def _take_table(self, told: object, kind: mi.ListKind | None) -> None:
-        """Read a list in discovery's form; tell the module. Raises `ValueError` before any change."""
-        if not isinstance(told, dict) or not isinstance(told.get("members", []), list):
-            raise ValueError("no service table")
-        entries = [_entry(member) for member in told.get("members", [])]
-        revision = told.get("revision")
-        if not isinstance(revision, int):
-            raise ValueError("the service table has no revision")
-        if kind is None:
-            self._revision = revision
-            kind = mi.ListKind.FULL if told.get("complete") else mi.ListKind.DELTA
-        now = clock()
-        if kind is not mi.ListKind.DELTA:
-            named = {entry.server for entry, _ in entries}
-            for target in [t for t in self.targets.values() if t.id not in named]:
-                self._set_away(target, now)
-                target.listed = False
-        for entry, address in entries:
-            target = self.targets.get(entry.server)
-            if target is None:
-                target = self.targets[entry.server] = _Target(entry.server, address)
-            elif target.address != address:
-                self._close_all(target)
-                # Another object: connections to the old address that are in use are not put back.
-                fresh = self.targets[entry.server] = _Target(entry.server, address)
-                fresh.away_since = target.away_since
-                target = fresh
-            target.listed = entry.state is not mi.ServerState.GONE
-            if entry.state is mi.ServerState.READY:
-                target.away_since = None
-            else:
-                self._set_away(target, now)
-        if entries or kind is not mi.ListKind.DELTA:
-            self.feed(mi.ServerList(kind, tuple(entry for entry, _ in entries), revision))
-        self._forget_gone(now)
-        self.ready = self.ready or bool(entries) or kind is mi.ListKind.FULL
-
-    def _set_away(self, target: _Target, now: int) -> None:
-        if target.away_since is None:
-            target.away_since = now
-            self._close_all(target)
-
-    def _forget_gone(self, now: int) -> None:
-        """Guards memory: a fleet whose machines are replaced for months names ever new servers."""
-        long_ago = now - self.settings.contract.drain_grace_ns - 10 * mi.NS_PER_S
-        for target in list(self.targets.values()):
-            if target.away_since is not None and target.away_since < long_ago:
-                del self.targets[target.id]
-
 
 def most_connections(config: Config) -> tuple[int, int]:
     """How many connections clients and pool servers may have, by the limits on descriptors and memory.
@@ -931,17 +592,6 @@
     return max(8, most - links), links
 
 
-def _is_quiet(sock: socket.socket) -> bool:
-    """Is there neither an end nor unasked bytes on an idle connection?"""
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 def _classify(message: http.Message) -> mi.Outcome:
     status = message.head.status
     if status == 200:
@@ -963,25 +613,3 @@
             if isfinite(number):
                 report[REPORT_NAMES.get(name, name)] = number
     return report or None
-
-
-def _member_address(member: dict) -> Address:
-    if member["phase"] == "terminated" and not member.get("host_port"):
-        return "", 0  # what is gone needs no address
-    return read_address(str(member["host_port"]))
-
-
-def _entry(member: object) -> tuple[mi.ServerEntry, Address]:
-    if not isinstance(member, dict):
-        raise ValueError("an entry of the service table is no object")
-    try:
-        return mi.ServerEntry(
-            server=str(member["id"]),
-            state=STATES[member["phase"]],
-            zone=str(member.get("locality", "")),
-            cell=int(member.get("cell", -1)),
-            weight=float(member.get("size", 1.0)),
-            started_ns=int(member.get("up_since_ms", 0)) * MS,
-        ), _member_address(member)
-    except (KeyError, TypeError, OverflowError) as fault:
-        raise ValueError(f"an entry of the service table cannot be read: {fault!r}") from None
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -133,13 +133,13 @@
     bench.submit("r1")
     bench.until(lambda: bench.script.seen(mi.AttemptEnded))
     assert bench.script.seen(mi.AttemptEnded)[0].outcome is mi.Outcome.CONNECT_FAILED
-    assert bench.sidecar.links == 0
+    assert bench.sidecar.links.open == 0
 
 
 def test_nothing_begins_once_the_drain_grace_is_over(bench: Bench) -> None:
     pool = bench.pool("s1", serve)
     bench.start()
-    bench.sidecar.targets["s1"].away_since = clock() - bench.sidecar.settings.contract.drain_grace_ns
+    bench.sidecar.links.targets["s1"].away_since = clock() - bench.sidecar.settings.contract.drain_grace_ns
     bench.script.reply = send_once()
     bench.submit("r1")
     bench.until(lambda: bench.script.seen(mi.AttemptEnded))
@@ -154,7 +154,7 @@
 
     def reply(event: mi.Event) -> list[mi.Action]:
         if isinstance(event, mi.AttemptEnded):
-            links.append(bench.sidecar.links)
+            links.append(bench.sidecar.links.open)
         return send_once(200 * mi.NS_PER_MS)(event)
 
     bench.script.reply = reply
@@ -242,7 +242,7 @@
     bench.until(lambda: any(e.version == 500 for e in bench.script.seen(mi.ServerList)))
     bench.discovery.revision = 3
     bench.discovery.members = {"s9": (3, bench.discovery.members["s1"][1] | {"id": "s9"})}
-    bench.until(lambda: "s9" in bench.sidecar.targets)
+    bench.until(lambda: "s9" in bench.sidecar.links.targets)
 
 
 def test_a_long_request_ends_with_its_terminal_even_where_the_module_calls_nothing_off(bench: Bench) -> None:
@@ -281,8 +281,8 @@
     bench.script.reply = send_once()
     bench.submit("r1")
     bench.until(lambda: bench.answers)
-    (link,) = bench.sidecar.targets["s1"].idle
-    link.idle_since -= bench.sidecar.idle_ns
+    (link,) = bench.sidecar.links.targets["s1"].idle
+    link.idle_since -= bench.sidecar.links.idle_ns
     bench.submit("r2")
     bench.until(lambda: len(bench.answers) == 2)
     assert pool.opened == 2
@@ -304,10 +304,10 @@
     bench.pool("s1", serve)
     bench.start()
 
-    def none_left(address: object, deadline: int) -> None:
+    def none_left(scheduler: object, address: object, deadline: int) -> None:
         raise OSError(errno.EMFILE, "no descriptor left")
 
-    bench.sidecar._connect = none_left
+    bench.sidecar.links.connect = none_left
     bench.script.reply = send_once()
     bench.submit("r1")
     bench.until(lambda: bench.script.seen(mi.AttemptEnded))
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -28,7 +28,7 @@
     at, times = 0, []
     while at < within_ns:
         times.append(at)
-        at += sidecar._pause(len(times))
+        at += sidecar.discovery.pause(len(times))
     return times
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -150,4 +150,4 @@
     front = HttpFront(scheduler, Sidecar(scheduler, config), config.listen)
     for elsewhere in (0, 300, 600):
         front._resize(elsewhere)
-        assert front.most + front.sidecar.most_links + elsewhere <= config.sockets
+        assert front.most + front.sidecar.links.most + elsewhere <= config.sockets
