--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -86,6 +86,7 @@
     "warm_rate",
 )  # what a snapshot keeps
 LEARNED_OF_CLASS = ("mean", "dev", "base", "low", "faulty")
+ASK_AGAIN_NS = mi.NS_PER_S * 3 // 4  # after a failed call to discovery, half as much more or less by chance
 TICK, ASK_AGAIN = range(2)  # tokens of timers
 
 
@@ -190,7 +191,7 @@
         if event.kind is mi.ListKind.FAILED:
             if self.settings.ask_for_list:
                 # Out of step: calls of a fleet that failed together would fail together again.
-                self.actions.append(mi.SetTimer(ASK_AGAIN, int(mi.NS_PER_S * (0.5 + self.random.random()))))
+                self.actions.append(mi.SetTimer(ASK_AGAIN, int(ASK_AGAIN_NS * (0.5 + self.random.random()))))
             return
         if event.kind is not mi.ListKind.DELTA:
             named = {entry.server for entry in event.servers}
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -50,6 +50,8 @@
         self.sidecar = Sidecar(self.scheduler, config)
         self.sidecar.balancer = self.script
         self.sidecar.start()
+        if self.discovery.members:  # the list stands once the agent has said what changed
+            self.until(lambda: self.sidecar.ready)
 
     def pool(self, name: str, handler: Callable) -> Listener:
         pool = Listener(handler)
