Hand over to a process of the same name alone, and take back what a dying successor left

Seen by reading: net/handover.py asked and answered by the address alone, in one file for a folder: two sidecars in one folder displaced each other's socket (os.replace), and a process of another name at the address would have been given the listener and the clients. And _send closed what a successor that died had not taken: requests on those connections were reset. Change: the file's name and the question hold name and address; what was not taken is given back, served and ended here. Both tests fail before (the second checked with the old line put back). An older version beside a new one is a stranger now: both listen at the address (SO_REUSEPORT) and the old one ends plainly, as where they cannot meet.

--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -216,7 +216,7 @@
         self.scheduler = scheduler
         self.sidecar = sidecar
         self.listen = listen
-        self.handover = handover.Handover(scheduler, folder, listen)
+        self.handover = handover.Handover(scheduler, folder, sidecar.config.name, listen)
         self.terminals: set[_Terminal] = set()
         # Those without a request, since when, longest first: the ones that never asked, and the ones between
         # requests.
@@ -261,7 +261,7 @@
         """There is no predecessor, or no longer: the limits are all this process's, and the next may come."""
         self._resize(0)
         if not self.stopping:
-            self.handover.offer(lambda: self._listener, self._held, self._on_successor)
+            self.handover.offer(lambda: self._listener, self._held, self._on_successor, self._adopt)
 
     def _held(self) -> int:
         """About how many descriptors this process has open."""
@@ -303,6 +303,7 @@
         self.scheduler.call_at(clock() + wait, self._close_listener)
 
     def _close_listener(self) -> None:
+        self._last_call = True
         if self.handover.has_successor:
             self.sidecar.links.stop()
         else:
--- a/iristrack/net/handover.py
+++ b/iristrack/net/handover.py
@@ -4,9 +4,11 @@
 client's bytes, decide anything, or stop a start: where there is no predecessor to speak with, the new process begins
 by itself.
 
-Messages are single packets of JSON, at most `MOST_BYTES` long. The successor asks `{"v":1,"listen":"host:port"}`. The
-predecessor answers `{"v":1,"held":N}` with the listening socket, or closes. Later it sends `{"held":N,"fresh":[..]}`
-with connections, one `fresh` for each: has nothing been asked on it yet? `held` is how many descriptors it has itself.
+Messages are single packets of JSON, at most `MOST_BYTES` long. The successor asks
+`{"v":2,"name":"n3","listen":"host:port"}`. The predecessor answers `{"v":2,"held":N}` with the listening socket, or
+closes. Later it sends `{"held":N,"fresh":[..]}` with connections, one `fresh` for each: has nothing been asked on it
+yet? `held` is how many descriptors it has itself.
+The file's name tells whose it is: a sidecar of another name, or at another address, in the same folder is a stranger.
 """
 
 from __future__ import annotations
@@ -20,6 +22,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from zlib import crc32
 
 from loguru import logger
 
@@ -38,13 +41,19 @@
 _CREDENTIALS = struct.Struct("3i")
 
 
+def file_name(name: str, listen: Address) -> str:
+    """What the Unix socket of this sidecar is called in the folder."""
+    return f"{NAME}-{crc32(json.dumps([name, *listen]).encode()):08x}"
+
+
 class Handover:
     """Both ends: what this process inherits, and what it leaves to the next one."""
 
-    def __init__(self, scheduler: Scheduler, folder: str, listen: Address) -> None:
+    def __init__(self, scheduler: Scheduler, folder: str, name: str, listen: Address) -> None:
         """Nothing is opened yet. An empty `folder` means that there is neither predecessor nor successor."""
         self.scheduler = scheduler
-        self.listen = f"{listen[0]}:{listen[1]}"
+        self._asked = {"v": 2, "name": name, "listen": f"{listen[0]}:{listen[1]}"}
+        self._file = file_name(name, listen)
         self._folder = folder
         self._at = -1
         self._predecessor: socket.socket | None = None
@@ -53,6 +62,7 @@
         self._listener: Callable[[], socket.socket | None] = lambda: None
         self._shared: Callable[[], None] = lambda: None
         self._held: Callable[[], int] = lambda: 0
+        self._give_back: Callable[[socket.socket, bool], None] = lambda client, fresh: client.close()
         self._outgoing: deque[tuple[socket.socket, bool]] = deque()
         self._sending = False
 
@@ -65,8 +75,8 @@
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         try:
             sock.settimeout(ASK_S)
-            sock.connect(self._path(NAME))
-            sock.send(json.dumps({"v": 1, "listen": self.listen}).encode())
+            sock.connect(self._path(self._file))
+            sock.send(json.dumps(self._asked).encode())
             data, passed, _, _ = socket.recv_fds(sock, MOST_BYTES, 1)
         except OSError as fault:
             sock.close()
@@ -135,20 +145,24 @@
         listener: Callable[[], socket.socket | None],
         held: Callable[[], int],
         shared: Callable[[], None],
+        give_back: Callable[[socket.socket, bool], None],
     ) -> None:
-        """Be there for a successor; `shared` is called when one comes and when it goes."""
+        """Be there for a successor; `shared` is called when one comes and when it goes.
+
+        Connections that it did not take are given back.
+        """
         if not self._folder:
             return
-        self._listener, self._held, self._shared = listener, held, shared
+        self._listener, self._held, self._shared, self._give_back = listener, held, shared, give_back
         server = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK)
         try:
-            own = f"{NAME}.{os.getpid()}"
+            own = f"{self._file}.{os.getpid()}"
             with suppress(FileNotFoundError):
                 os.unlink(self._path(own))
             server.bind(self._path(own))
             os.chmod(self._path(own), 0o600)
             server.listen(4)
-            os.replace(self._path(own), self._path(NAME))
+            os.replace(self._path(own), self._path(self._file))
         except OSError as fault:
             logger.warning("no successor can be spoken with: {}", fault)
             server.close()
@@ -187,10 +201,10 @@
         except OSError:
             data = b""
         try:
-            if data and json.loads(data) == {"v": 1, "listen": self.listen}:
+            if data and json.loads(data) == self._asked:
                 listener = self._listener()
                 if listener is not None:
-                    message = json.dumps({"v": 1, "held": self._held()}).encode()
+                    message = json.dumps({"v": 2, "held": self._held()}).encode()
                     socket.send_fds(sock, [message], [listener.fileno()])
                     logger.info("a successor listens too")
                     self._shared()
@@ -243,10 +257,13 @@
                     self._outgoing.popleft()[0].close()
         except (OSError, Cancelled) as fault:
             logger.warning("connections could not be passed on: {!r}", fault)
+            if self._successor is not None:
+                self._lose(self._successor)  # who takes nothing is no successor
         finally:
-            while self._outgoing:
-                self._outgoing.popleft()[0].close()
+            left, self._outgoing = self._outgoing, deque()
             self._sending = False
+            for client, fresh in left:
+                self._give_back(client, fresh)
             self._shared()
 
     def _path(self, name: str) -> str:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -48,7 +48,9 @@
     scheduler._stopped = False
     look()
     scheduler.run()
-    if isinstance(seen[0], Exception):
+    if not seen:  # what was tested ended the loop
+        assert holds()
+    elif isinstance(seen[0], Exception):
         raise seen[0]
 
 
@@ -192,10 +194,10 @@
 
     def __init__(
         self, folder: Path, discovery: Discovery, ready: bool = True, beside: Program | None = None,
-        tmpdir: Path | None = None, **changes: object,
+        tmpdir: Path | None = None, port: int = 0, **changes: object,
     ) -> None:  # fmt: skip
         """`beside` is the old version that this one takes over from."""
-        self.port = beside.port if beside else free_port()
+        self.port = beside.port if beside else port or free_port()
         config = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": discovery.address,
             "seed": "8c1f30d27a5be964", "known": discovery.table(), "settings": SETTINGS,
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -41,6 +41,7 @@
 from iristrack.net import front as front_module
 from iristrack.net import http
 from iristrack.net.front import HttpFront, _Passage
+from iristrack.net.handover import file_name
 from iristrack.net.scheduler import Scheduler, clock
 from iristrack.net.sidecar import Sidecar
 
@@ -62,13 +63,13 @@
         self.discovery.put(name, pool.address, **more)
         return pool
 
-    def start(self, sockets: int = 1024) -> None:
+    def start(self, sockets: int = 1024, folder: str = "") -> None:
         listen = ("127.0.0.1", free_port())
         told = read_settings(flatten(SETTINGS))
         address = read_address(self.discovery.address)
         config = Config("n0", listen, address, 1, told, self.discovery.table(), sockets)
         self.core = Sidecar(self.scheduler, config)
-        self.front = HttpFront(self.scheduler, self.core, listen)
+        self.front = HttpFront(self.scheduler, self.core, listen, folder)
         self.core.start()
         self.front.start()
         self.until(lambda: self.core.ready)
@@ -397,6 +398,35 @@
             pass
 
 
+def test_connections_that_a_dying_successor_did_not_take_are_served_here(
+    inside: Inside, tmp_path: Path
+) -> None:
+    inside.pool()
+    inside.start(folder=str(tmp_path))
+    kept = [inside.rest() for _ in range(3)]
+    successor = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    successor.connect(str(tmp_path / file_name("n0", inside.front.listen)))
+    asked = json.dumps({"v": 2, "name": "n0", "listen": "{}:{}".format(*inside.front.listen)})
+    successor.send(asked.encode())
+    inside.until(lambda: inside.front.handover.has_successor and inside.front.handover._successor)
+    send = inside.front.handover._send
+
+    def dies_first() -> None:  # between the decision to pass them on and the passing
+        successor.close()
+        send()
+
+    inside.front.handover._send = dies_first
+    inside.front.stop()
+    inside.front._wake_idle()
+    for i, sock in enumerate(kept):
+        sock.sendall(call(f"after{i}"))
+    assert [inside.hear(sock).head.status for sock in kept] == [200] * 3
+    assert [inside.hear(sock) for sock in kept] == [None] * 3  # and nothing keeps the process from its end
+    for sock in kept:
+        sock.close()
+    inside.until(lambda: not inside.front.terminals)
+
+
 # ---- floods
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,7 +10,7 @@
 import pytest
 from stage import Program, Stage, Terminal, call, free_port, serve, until
 
-from iristrack.net.handover import NAME
+from iristrack.net.handover import file_name
 from iristrack.net.scheduler import Scheduler
 
 
@@ -102,7 +102,8 @@
 
 @pytest.mark.parametrize("left", ["file", "folder", "dead socket", "mute socket"])
 def test_what_lies_in_the_folder_never_stops_a_start(stage: Stage, tmp_path: Path, left: str) -> None:
-    path = tmp_path / NAME
+    port = free_port()
+    path = tmp_path / file_name("n0", ("127.0.0.1", port))
     mute = None
     if left == "file":
         path.write_bytes(b"\x00garbage")
@@ -114,7 +115,7 @@
         if left == "mute socket":
             mute.listen(1)  # it takes the question and says nothing
     stage.pool("s1")
-    old = stage.start(tmpdir=tmp_path, **admin())
+    old = stage.start(tmpdir=tmp_path, port=port, **admin())
     assert old.ask("r1").head.status == 200
     if left == "folder":  # they cannot meet there: both listen at the address, and the old one ends plainly
         kept = Terminal(old.port)
@@ -129,15 +130,31 @@
 def test_who_asks_for_what_is_not_here_gets_nothing(stage: Stage, tmp_path: Path) -> None:
     stage.pool("s1")
     old = stage.start(tmpdir=tmp_path, **admin())
-    for asked in (b"{}", b"\xff" * 3000, b'{"v":1,"listen":"10.0.0.1:1"}', b"[" * 3000):
+    mine = f'{{"v":2,"name":"n1","listen":"127.0.0.1:{old.port}"}}'.encode()  # another customer's
+    for asked in (b"{}", b"\xff" * 3000, b'{"v":2,"name":"n0","listen":"10.0.0.1:1"}', b"[" * 3000, mine):
         with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
             sock.settimeout(60)
-            sock.connect(str(tmp_path / NAME))
+            sock.connect(str(tmp_path / file_name("n0", ("127.0.0.1", old.port))))
             sock.send(asked)
             assert sock.recv(100) == b""
     assert old.ask("r1").head.status == 200
 
 
+def test_two_sidecars_in_one_folder_are_strangers(stage: Stage, tmp_path: Path) -> None:
+    stage.pool("s1")
+    one = stage.start(tmpdir=tmp_path, **admin())
+    (tmp_path / "other").mkdir()
+    other = Program(tmp_path / "other", stage.discovery, tmpdir=tmp_path, name="n1", **admin())
+    stage.programs.append(other)
+    new = taken_over(stage, one, tmp_path)  # who came later in the folder is in nobody's way
+    assert "shared" in new.log.read_text() and "shared" not in other.log.read_text()
+    kept = Terminal(one.port)
+    assert kept.exchange(call("r1")).head.status == 200
+    one.process.send_signal(signal.SIGTERM)
+    assert kept.exchange(call("r2")).head.status == 200
+    assert one.process.wait(60) == 0 and "successor" not in other.log.read_text()
+
+
 def test_both_together_hold_no_more_descriptors_than_the_limit(tmp_path: Path) -> None:
     from stage import ROOT
 
