Earn no more than one window's worth at a cold server while nobody looks at it

Need: beyond N only 2 x root of N + 2 are chance, also with 20 or 30 processes. Seen by driving 5 to 200 budgets: after a quiet time each holds a whole token and all spend it in one moment: 30 go beyond the allowance in 5 of 72 cases, 60 in 10, 200 in 27 (worst 1.98, 3.89, 8.70 times it). At fault: limits/cold.py allows counted all time since the last look. Ruled out: uneven load, restarts (a new budget starts with a part of a token), the pace. Four of the cases in tests/test_limits.py fail before.

--- a/iristrack/limits/cold.py
+++ b/iristrack/limits/cold.py
@@ -5,10 +5,11 @@
 requests a second.
 
 The bound needs nobody to hear anything of the others. Each sidecar sends at the floor (its own part of what the
-contract grants at this age) times its pace, plus `EARNED` times the rate of good answers that the server gave it since
-its start. The answers to all sidecars together are no more than the server can do now, as a cold server only gets
-faster. So all together send at most the floor times the pace, plus `EARNED` times what the server can do, plus a
-burst of one token each; and the pace stays where that is within the contract.
+contract grants at this age) times its pace, plus `EARNED` times the rate of good answers that the server gave it
+since its start; for time in which it does not look at the server it earns no more than in one window. The answers to
+all sidecars together are no more than the server can do now, as a cold server only gets faster. So all together send
+at most the floor times the pace, plus `EARNED` times what the server can do, plus a burst of one token each; and the
+pace stays where that is within the contract.
 """
 
 from __future__ import annotations
@@ -96,7 +97,9 @@
             warm_rate * share * contract.overload_factor / FACTOR * (pace.value if self.fine else pace.least)
         )
         rate = floor + EARNED * self._recent(now) * NS_PER_S / MEMORY_NS
-        elapsed = (now - self.at) / NS_PER_S if self.at else 0.0
+        # What nobody looks at earns no more than one window's worth: else all would hold a whole token after a quiet
+        # time, and spend it in one moment.
+        elapsed = min(max(0, now - self.at), contract.fall_ns) / NS_PER_S if self.at else 0.0
         self.tokens = min(max(1.0, rate / 2), self.tokens + elapsed * rate)
         self.at = now
         return self.tokens >= 1.0
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 
 import pytest
 from driver import MS, Host, settings
@@ -10,7 +11,7 @@
 from hypothesis import strategies as st
 
 from iristrack.interface import NS_PER_S, AttemptEnded, Contract, ListKind, Outcome
-from iristrack.limits.cold import ColdBudget, ColdPace
+from iristrack.limits.cold import ColdBudget, ColdPace, granted_share
 from iristrack.limits.crowd import FADES_NS, MOST_TOLD, TRUSTED_NS, Crowd, figures
 
 REPORT = {"qps": 40.0, "latency_ms": 100.0, "queue": 2.0, "eps": 0.0}  # six in hand
@@ -164,6 +165,79 @@
         assert arrived <= granted + 3 * granted**0.5 + 3
 
 
+def after_a_quiet_time(
+    number: int, warm_rate: float, uneven: bool, restarted: bool, contract: Contract
+) -> float:
+    """All want to send for a second, then nobody for six, then all; where `restarted`, half of them anew.
+
+    The worst window's sends beyond N, as a part of what chance is granted: 2 x root of N + 2.
+    """
+    draw = random.Random(number)
+    busy = max(1, number // 10) if uneven else 0  # a tenth has two thirds of the load
+    part = [
+        (2 / 3 / busy if i < busy else 1 / 3 / max(1, number - busy)) if busy else 1 / number
+        for i in range(number)
+    ]
+    budgets = [ColdBudget(draw.random()) for _ in range(number)]
+    paces = [ColdPace(number > 12, contract) for _ in range(number)]
+    for pace in paces * 10:
+        pace.follow(True)
+    sends, out, queue, done = [], [0] * number, [], 0.0
+    able = lambda at: warm_rate * granted_share(at, contract.cold_share, contract.cold_ns)  # noqa: E731
+    for now in [*range(10 * MS, NS_PER_S, 10 * MS), *range(7 * NS_PER_S, 10 * NS_PER_S, 10 * MS)]:
+        if now == 7 * NS_PER_S and restarted:
+            for i in range(0, number, 2):
+                budgets[i], out[i] = ColdBudget(draw.random()), 0
+        for i in draw.sample(range(number), number):
+            if number > 12 and budgets[i].in_hand(now, out[i]):
+                continue
+            if budgets[i].allows(now, warm_rate * part[i], 1, contract, paces[i]):
+                budgets[i].spend()
+                sends.append(now)
+                queue.append((now, i))
+                out[i] += 1
+        done = min(done + able(now) / 100, 1.0 + len(queue))
+        while queue and done >= 1:
+            done -= 1
+            sent, i = queue.pop(0)
+            out[i] = max(0, out[i] - 1)
+            budgets[i].answered(now, now - sent < NS_PER_S // 2)
+            paces[i].follow(now - sent < NS_PER_S // 2)
+    worst = -math.inf
+    for start in range(0, 9 * NS_PER_S, 50 * MS):
+        granted = contract.overload_factor * able(start) * contract.fall_ns / NS_PER_S
+        arrived = sum(start <= at < start + contract.fall_ns for at in sends)
+        worst = max(worst, (arrived - granted) / (2 * granted**0.5 + 2))
+    return worst
+
+
+@pytest.mark.parametrize("number", [1, 5, 20, 30, 60])
+@pytest.mark.parametrize("uneven", [False, True])
+@pytest.mark.parametrize("restarted", [False, True])
+def test_all_together_stay_within_chance_when_they_send_in_one_moment(
+    number: int, uneven: bool, restarted: bool
+) -> None:
+    slow = Contract(cold_share=0.12, cold_ns=24 * NS_PER_S, overload_factor=2.5, fall_ns=NS_PER_S * 3 // 2)
+    fast = Contract(cold_share=0.2, cold_ns=12 * NS_PER_S, overload_factor=3.0, fall_ns=NS_PER_S)
+    for contract in (slow, fast):
+        for warm_rate in (10.0, 30.0, 100.0):
+            assert after_a_quiet_time(number, warm_rate, uneven, restarted, contract) <= 1.0
+
+
+@pytest.mark.parametrize("started", [0, 1, 3600 * NS_PER_S])
+def test_odd_times_and_sizes_give_no_burst(started: int) -> None:
+    # Started in the future, long ago or never told; a clock that steps back; a fleet of one; a share and a size of 0.
+    for contract in (CONTRACT, Contract(cold_share=1e-9, cold_ns=1, overload_factor=0.5, fall_ns=NS_PER_S)):
+        budget, sent = ColdBudget(0.5), 0
+        pace = ColdPace(False, contract)
+        for now in (5 * NS_PER_S, 4 * NS_PER_S, 4 * NS_PER_S + MS, 60 * NS_PER_S, 1):
+            for rate in (0.0, 0.2):
+                while budget.allows(now, rate, started, contract, pace):
+                    budget.spend()
+                    sent += 1
+        assert sent <= 1 and math.isfinite(budget.tokens)
+
+
 def test_many_learn_from_all_cold_servers_what_one_answers_too_seldom_to_tell() -> None:
     fresh, praised = (
         flood([ColdBudget(i / 200) for i in range(200)], 0.35, many=True, praised=x) for x in (False, True)
