--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -1,4 +1,4 @@
-"""The cost of a transaction: CPU a transaction, requests a second and latency, with the daemon on one core.
+"""The cost of a request: CPU a request, requests a second and latency, with the daemon on one core.
 
 Stand-in pool servers (answering after `--work-ms`) and discovery on loopback, the real daemon pinned to one core, and
 an open-loop load at a fixed rate: each connection has its intended send times, and a latency runs from the intended
@@ -228,7 +228,7 @@
 
 @dataclass
 class Play:
-    """The figures of one play: µs of CPU a transaction, answers a second, latency in ms, statuses by count."""
+    """The figures of one play: µs of CPU a request, answers a second, latency in ms, statuses by count."""
 
     revision: str
     connections: int
@@ -490,7 +490,7 @@
                 cpu = sum(p.cpu_us for p in mine) / sum(p.cpu_us for p in theirs)
                 served = sum(p.per_s for p in mine) / sum(p.per_s for p in theirs)
                 print(
-                    f"{connections:5d} conn: CPU a transaction {cpu:.2f} of {chosen.against}'s, served {served:.2f}x"
+                    f"{connections:5d} conn: CPU a request {cpu:.2f} of {chosen.against}'s, served {served:.2f}x"
                 )
     return 0
 
--- a/benchmarks/long.py
+++ b/benchmarks/long.py
@@ -2,7 +2,7 @@
 
     .venv/bin/python benchmarks/long.py --runs 3 --at-once 24 --memory-mb 40
 
-Half of the transfers are answers to terminals that read slowly, half bodies to pool servers that do. Every run starts
+Half of the transfers are answers to clients that read slowly, half bodies to pool servers that do. Every run starts
 the program anew, ends by itself and prints a line: resident memory at rest and at its highest, in MB, and the time.
 """
 
@@ -73,7 +73,7 @@
 
 
 def transfer(port: int, number: int, whole: list[bool]) -> None:
-    """One transaction with 32 MB; whether it came whole."""
+    """One request with 32 MB; whether it came whole."""
     with suppress(OSError), socket.create_connection(("127.0.0.1", port), timeout=60) as sock:
         if number % 2:
             sock.sendall(call(f"r{number}", "view", key=f"k{number}"))
--- a/benchmarks/speed.py
+++ b/benchmarks/speed.py
@@ -79,7 +79,7 @@
     for _ in range(5):
         took, world = once()
         seconds.append(took)
-    asked, calls = world.terminals.asked, world.queue.ran
+    asked, calls = world.clients.asked, world.queue.ran
     print(f"{asked} requests, {calls} calls of the queue, {world.ledger.count} records")
     print(f"CPU seconds: {', '.join(f'{s:.2f}' for s in seconds)}; median {sorted(seconds)[2]:.2f}")
     return 0
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -3,7 +3,7 @@
     .venv/bin/python benchmarks/turns.py --runs 3 --seconds 8
 
 Each run starts the program anew beside stand-ins, sends a bounded load on 16 kept connections, ends it by SIGTERM and
-prints what its loop reports said: the longest turn and the CPU time of a transaction, in ms.
+prints what its loop reports said: the longest turn and the CPU time of a request, in ms.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
 
-from stage import Discovery, Listener, Program, Terminal, call, serve  # noqa: E402
+from stage import Client, Discovery, Listener, Program, call, serve  # noqa: E402
 
 CONNECTIONS = 16
 PAUSE_S = 0.05  # between one connection's requests: 16 of them send about 300 a second
@@ -29,17 +29,17 @@
 
 def load(port: int, number: int, until: float) -> None:
     """Ask on one connection, again and again, under new ids and changing keys."""
-    terminal, count = Terminal(port), 0
+    client, count = Client(port), 0
     with suppress(OSError):  # the program was stopped: its report tells how far it came
         while time.monotonic() < until:
             count += 1
             name = ("view", "pay")[count % 2]
-            terminal.exchange(call(f"r{number}-{count}", name, key=f"k{(number * 31 + count) % 400}"))
+            client.exchange(call(f"r{number}-{count}", name, key=f"k{(number * 31 + count) % 400}"))
             time.sleep(PAUSE_S)
 
 
 def played(seconds: float, kept: bool) -> tuple[float, float]:
-    """One run: the longest turn and the mean CPU time of a transaction, in ms."""
+    """One run: the longest turn and the mean CPU time of a request, in ms."""
     discovery = Discovery()
     for i in range(6):
         discovery.put(f"s{i}", Listener(serve).address)
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -1,6 +1,6 @@
 """The toy platform, the real sidecar and a bounded load, on one machine: `make demo`.
 
-It takes free ports on loopback, starts the sidecar as its operators do, sends 240 transactions over eight
+It takes free ports on loopback, starts the sidecar as its operators do, sends 240 requests over eight
 connections, drains a pool server half-way, prints who served what, and stops all that it started.
 """
 
@@ -66,19 +66,19 @@
     raise SystemExit("demo: the sidecar did not become ready; its log stands above")
 
 
-def ask(port: int, terminal: int, numbers: range, results: list[tuple[int, str, float]]) -> None:
-    """One terminal: its transactions one after the other on one connection."""
+def ask(port: int, client: int, numbers: range, results: list[tuple[int, str, float]]) -> None:
+    """One client: its requests one after the other on one connection."""
     connection = http.client.HTTPConnection(toy.HOST, port, timeout=5)
     for number in numbers:
         payout = number % 2
         headers = {
-            "X-Call-Id": f"demo-{terminal}-{number}",
+            "X-Call-Id": f"demo-{client}-{number}",
             "X-Call-Class": "payout" if payout else "share-view",
             "X-Caller": "northfield",
             "X-Budget": "1200m",
         }
         if payout:
-            headers["Idempotency-Key"] = f"key-{terminal}-{number}"
+            headers["Idempotency-Key"] = f"key-{client}-{number}"
         began = time.monotonic()
         try:
             connection.request("POST" if payout else "GET", f"/api/venue-{number % 20}", headers=headers)
@@ -91,12 +91,12 @@
 
 
 def main() -> int:
-    """Play it; 0 if every transaction was served."""
+    """Play it; 0 if every request was served."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--transactions", type=int, default=240, help="how many, 8 to 10000 (default 240)")
-    total = parser.parse_args().transactions
+    parser.add_argument("--requests", type=int, default=240, help="how many, 8 to 10000 (default 240)")
+    total = parser.parse_args().requests
     if not TERMINALS <= total <= 10_000:
-        parser.error("--transactions must lie between 8 and 10000")
+        parser.error("--requests must lie between 8 and 10000")
     each = total // TERMINALS
     with tempfile.TemporaryDirectory() as folder:
         table, ports, discovery = start_platform()
@@ -105,7 +105,7 @@
         try:
             for part, numbers in enumerate((range(each // 2), range(each // 2, each))):
                 if part:
-                    print("pool-2 drains: the service table says so, nothing new goes there")
+                    print("pool-2 drains: the server list says so, nothing new goes there")
                     table.put("pool-2", ports["pool-2"], "terminating")
                     time.sleep(0.5)
                 before = len(results)
@@ -118,7 +118,7 @@
                     thread.join()
                 by = Counter(server or f"status {status}" for status, server, _ in results[before:])
                 told = ", ".join(f"{server} {count}" for server, count in sorted(by.items()))
-                print(f"{len(results) - before} transactions: {told}")
+                print(f"{len(results) - before} requests: {told}")
         finally:
             process.terminate()
             code = process.wait(timeout=10)
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -19,7 +19,7 @@
 
 
 class Table:
-    """The service table: the latest entry of each pool server, and the revision in which it changed."""
+    """The server list: the latest entry of each pool server, and the revision in which it changed."""
 
     def __init__(self) -> None:
         """Empty, at revision 0."""
--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -1,7 +1,7 @@
 """The command line: `serve`, `version` and `check-config`.
 
 This file owns the process: arguments, logging, signals and exit codes. It must never hold anything that a
-transaction passes through.
+request passes through.
 """
 
 from __future__ import annotations
--- a/iristrack/lab/fleet.py
+++ b/iristrack/lab/fleet.py
@@ -19,15 +19,13 @@
 
 DAY_S = 86_400
 MOST_SECONDS = 7_200  # two hours; what lies behind is not counted
-MOST_CALLS = 1_000_000  # whose first routed task is remembered
+MOST_CALLS = 1_000_000  # whose first attempt is remembered
 FEW_MS = 50  # a refusal this soon after a call's arrival cannot be told from one at once
 
 _LINE = re.compile(r"^(?:\[?([\d.]+)\]? )?(\d\d):(\d\d):(\d\d)\.(\d+) (\w+) (.*)$")
 _SENT = re.compile(r"^call (\S+) attempt (\d+) to (\S+) within (-?\d+) ms$")
 _ENDED = re.compile(r"^call (\S+) attempt (\d+) at (\S+): (\w+) after (\d+) ms")
-_ANSWERED = re.compile(
-    r"^call (\S+) (\S+) answered (\w+) after (\d+) routed tasks, (-?\d+) ms before its end$"
-)
+_ANSWERED = re.compile(r"^call (\S+) (\S+) answered (\w+) after (\d+) attempts, (-?\d+) ms before its end$")
 _EJECTED = re.compile(r"^server (\S+) ejected: (.*)$")
 _CAUSE = re.compile(r" of \S+$")  # a class's name behind a cause of ejection
 
@@ -36,20 +34,20 @@
 class Second:
     """One second of the fleet."""
 
-    answers: Counter[str] = field(default_factory=Counter)  # SERVED, SHORT, FAILED
+    answers: Counter[str] = field(default_factory=Counter)  # SERVED, REFUSED, FAILED
     refused: Counter[str] = field(default_factory=Counter)  # by cause, see `cause`
-    sent: int = 0  # routed tasks
+    sent: int = 0  # attempts
     again: int = 0  # of them, not a call's first
     ended: Counter[str] = field(default_factory=Counter)  # by outcome
     ejected: Counter[str] = field(default_factory=Counter)  # by cause
-    servers: set[str] = field(default_factory=set)  # that got a routed task
+    servers: set[str] = field(default_factory=set)  # that got a attempt
     sidecars: set[int] = field(default_factory=set)  # that sent or answered
 
 
 def cause(tasks: int, last: str | None) -> str:
-    """Why a call got a short-on-capacity reply, as far as its lines tell.
+    """Why a call got a refusal, as far as its lines tell.
 
-    `tasks` is how many routed tasks it had, `last` the outcome of the last one.
+    `tasks` is how many attempts it had, `last` the outcome of the last one.
     """
     if not tasks:
         return "never sent"
@@ -104,7 +102,7 @@
         elif found := _ANSWERED.match(text):
             row.answers[found[3]] += 1
             last = self._last.pop(found[1], None)
-            if found[3] == "SHORT":
+            if found[3] == "REFUSED":
                 row.refused[cause(int(found[4]), last)] += 1
                 if found[4] == "0":
                     self.left_ms.append(int(found[5]))
@@ -123,7 +121,7 @@
         return total
 
     def quartiles(self) -> tuple[int, int, int] | None:
-        """Of the time (ms) that calls refused without a routed task had left; None where there were none."""
+        """Of the time (ms) that calls refused without a attempt had left; None where there were none."""
         if not self.left_ms:
             return None
         left = sorted(self.left_ms)
--- a/iristrack/net/__init__.py
+++ b/iristrack/net/__init__.py
@@ -1,1 +1,1 @@
-"""The real sidecar's sockets: scheduler, HTTP parsers, the terminal's side and the core."""
+"""The real sidecar's sockets: scheduler, HTTP parsers, the client's side and the core."""
--- a/iristrack/net/door.py
+++ b/iristrack/net/door.py
@@ -1,7 +1,7 @@
 """The operators' door: HTTP/1.1 at an address of its own, one call to a connection.
 
 This file owns that listener and its callers, bounded in number and time apart from the traffic's. It must never
-decide anything, count anything of its own, or wait for a transaction: it reads what the core holds at that moment.
+decide anything, count anything of its own, or wait for a request: it reads what the core holds at that moment.
 """
 
 from __future__ import annotations
--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -1,6 +1,6 @@
-"""The terminal's side over HTTP/1.1: listener, platform headers and final answers.
+"""The client's side over HTTP/1.1: listener, platform headers and final answers.
 
-This file owns the clients' connections: it turns requests into transactions and answers back into bytes, one
+This file owns the clients' connections: it turns bytes into requests and answers back into bytes, one
 for each request. It must never talk to a pool server or decide what becomes of a well-formed request; what is
 no request of the platform's it turns away itself. Another front would stand beside it, on the same core.
 """
@@ -34,10 +34,10 @@
 from iristrack.net.sidecar import (
     STALL_NS,
     Answer,
+    ClientLeft,
+    ClientRequest,
     Ending,
     Sidecar,
-    TerminalLeft,
-    Transaction,
     most_connections,
 )
 
@@ -78,7 +78,7 @@
 _PLAIN = b"Content-Type: text/plain\r\n"
 
 
-class _Terminal:
+class _Client:
     """One client connection."""
 
     __slots__ = (
@@ -101,7 +101,7 @@
         # When the request under way began, when its head was whole, when the client last gave anything, and for how
         # long it could not because the pool server took nothing.
         self.begun = self.head_at = self.heard = self.held_up = 0
-        self.owned = False  # a routed task waits on the socket
+        self.owned = False  # an attempt waits on the socket
         self.task: Task | None = None
         self.answer: Answer | None = None
 
@@ -113,61 +113,61 @@
 
 
 class _Passage:
-    """A terminal's side of long messages, for the routed task: see `sidecar.Passage`."""
+    """A client's side of long messages, for the attempt: see `sidecar.Passage`."""
 
-    __slots__ = ("_chunked", "_front", "_head", "_terminal", "ended", "fault", "keep", "length")
+    __slots__ = ("_chunked", "_client", "_front", "_head", "ended", "fault", "keep", "length")
 
-    def __init__(self, front: HttpFront, terminal: _Terminal, head: http.Head) -> None:
+    def __init__(self, front: HttpFront, client: _Client, head: http.Head) -> None:
         self._front = front
-        self._terminal = terminal
+        self._client = client
         self._head = head
         self._chunked = False  # the answer
-        self.length = terminal.reader.length  # of the request's body
-        self.ended = not terminal.reader.long  # is all of it read?
+        self.length = client.reader.length  # of the request's body
+        self.ended = not client.reader.long  # is all of it read?
         self.keep = False  # does the connection go on after the answer?
         self.fault: http.Malformed | None = None  # what was wrong with the request's body
 
     def _wait(self, events: int, deadline: int) -> None:
-        """Wait on the terminal's socket in the place of its own task, which looks for a hang-up otherwise."""
-        terminal = self._terminal
-        terminal.owned = True
-        terminal.task.wake()
+        """Wait on the client's socket in the place of its own task, which looks for a hang-up otherwise."""
+        client = self._client
+        client.owned = True
+        client.task.wake()
         try:
-            self._front.scheduler.wait(terminal.fd, events, deadline)
+            self._front.scheduler.wait(client.fd, events, deadline)
         finally:
-            terminal.owned = False
-            terminal.task.wake()
+            client.owned = False
+            client.task.wake()
 
     def read(self, size: int) -> bytes:
-        terminal, reader = self._terminal, self._terminal.reader
+        client, reader = self._client, self._client.reader
         if self.ended:
-            terminal.task.wake()  # the answer has a deadline now
+            client.task.wake()  # the answer has a deadline now
             return b""
         now = clock()
-        terminal.held_up += max(0, now - terminal.heard)  # since the last piece came, others were waited for
-        terminal.heard = now
+        client.held_up += max(0, now - client.heard)  # since the last piece came, others were waited for
+        client.heard = now
         try:
             while not (data := reader.take()) and not reader.done:
                 try:
-                    got = terminal.sock.recv(size)
+                    got = client.sock.recv(size)
                 except BlockingIOError:
-                    self._wait(READ, terminal.body_by())
+                    self._wait(READ, client.body_by())
                     continue
-                terminal.heard = clock()
+                client.heard = clock()
                 reader.feed(got) if got else reader.end()
             if reader.done and not data:
                 self.ended = True
                 reader.finish()
-                terminal.task.wake()
+                client.task.wake()
                 return http.LAST_CHUNK if self.length is None else b""
         except http.Malformed as fault:
             self.fault = fault
-            raise TerminalLeft from None
+            raise ClientLeft from None
         except TimeoutError:
             self.fault = http.Malformed(408, "the request did not become whole in time")
-            raise TerminalLeft from None
+            raise ClientLeft from None
         except (OSError, http.Truncated):
-            raise TerminalLeft from None
+            raise ClientLeft from None
         return http.chunk(data) if self.length is None else data
 
     def begin(self, media_type: bytes, length: int | None) -> None:
@@ -175,17 +175,17 @@
         self.keep = (
             self.ended
             and (length is not None or self._chunked)
-            and self._front.keeps(self._terminal, self._head)
+            and self._front.keeps(self._client, self._head)
         )
         lines = b"Content-Type: %b\r\n" % media_type if media_type else b""
         if length is not None or self._chunked:
             lines += http.framing(length)
         if not self.keep:
             lines += b"Connection: close\r\n"
-        self._terminal.task.wake()  # it must not wait by the client's patience any more
+        self._client.task.wake()  # it must not wait by the client's patience any more
         if length is None and not self._chunked:
             # Its end is the connection's: should the answer break off, a reset must tell so.
-            self._terminal.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self._client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self._send(b"HTTP/1.1 200 OK\r\n%b\r\n" % lines)
 
     def write(self, data: bytes) -> None:
@@ -193,19 +193,19 @@
 
     def present(self) -> bool:
         poll = select.poll()
-        poll.register(self._terminal.fd, HANG_UP)
+        poll.register(self._client.fd, HANG_UP)
         return not poll.poll(0)
 
     def end(self) -> None:
         if self._chunked:
             self._send(http.LAST_CHUNK)
-        self._terminal.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
+        self._client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
 
     def _send(self, data: bytes) -> None:
         try:
-            send_all(self._terminal.sock, data, lambda: self._wait(WRITE, clock() + STALL_NS))
+            send_all(self._client.sock, data, lambda: self._wait(WRITE, clock() + STALL_NS))
         except OSError:
-            raise TerminalLeft from None
+            raise ClientLeft from None
 
 
 class HttpFront:
@@ -217,13 +217,13 @@
         self.sidecar = sidecar
         self.listen = listen
         self.handover = handover.Handover(scheduler, folder, sidecar.config.name, listen)
-        self.terminals: set[_Terminal] = set()
+        self.clients: set[_Client] = set()
         # Those without a request, since when, longest first: the ones that never asked, and the ones between
         # requests.
-        self.silent: dict[_Terminal, int] = {}
-        self.idle: dict[_Terminal, int] = {}
+        self.silent: dict[_Client, int] = {}
+        self.idle: dict[_Client, int] = {}
         # Those whose request is not whole yet, since they last gave a byte, longest first.
-        self.half: dict[_Terminal, int] = {}
+        self.half: dict[_Client, int] = {}
         self._told_at = 0  # when a failed accept was last logged
         self.stopping = False
         self._last_call = False  # is the grace over?
@@ -265,7 +265,7 @@
 
     def _held(self) -> int:
         """About how many descriptors this process has open."""
-        return len(self.terminals) + self.sidecar.links.open + handover.OWN
+        return len(self.clients) + self.sidecar.links.open + handover.OWN
 
     def _resize(self, elsewhere: int) -> None:
         """Size connections for the configured limits, less the descriptors that the other process holds."""
@@ -289,7 +289,7 @@
         """
         if not self.stopping:
             self.stopping = True
-            logger.info("stopping: {} transactions are in flight", len(self.sidecar.transactions))
+            logger.info("stopping: {} requests are in flight", len(self.sidecar.requests))
             if self.handover.has_successor:
                 self._close_listener()
             else:
@@ -316,19 +316,19 @@
         self._end_if_done()
 
     def _wake_idle(self) -> None:
-        """Have the terminals between requests look: they end, or go to the successor."""
-        for terminal in list(self.terminals):
-            if terminal.reader.empty and terminal.task is not None:
-                terminal.task.wake()
+        """Have the clients between requests look: they end, or go to the successor."""
+        for client in list(self.clients):
+            if client.reader.empty and client.task is not None:
+                client.task.wake()
 
     def _end_if_done(self) -> None:
-        if self.stopping and self._listener is None and not self.terminals and self.handover.idle:
+        if self.stopping and self._listener is None and not self.clients and self.handover.idle:
             self.sidecar.stop()
             self.scheduler.stop()
 
     @property
     def serving(self) -> bool:
-        """Does it listen and mean to go on, with a service table to route by?"""
+        """Does it listen and mean to go on, with a server list to route by?"""
         return self._listener is not None and not self.stopping and self.sidecar.ready
 
     @property
@@ -344,7 +344,7 @@
     @property
     def crowded(self) -> bool:
         """Do clients hold many connections, on which they ask or have asked?"""
-        return len(self.terminals) - len(self.silent) > self.many
+        return len(self.clients) - len(self.silent) > self.many
 
     # ---- connections
 
@@ -353,7 +353,7 @@
             self._begun
             and self._listener is not None
             and not self._accepting
-            and len(self.terminals) < self.most
+            and len(self.clients) < self.most
         ):
             self._accepting = True
             self.scheduler.watch(self._listener.fileno(), self._accept)
@@ -366,7 +366,7 @@
     def _accept(self) -> bool:
         """Take what has come, never past the bound; true if there may be more."""
         for _ in range(ACCEPTS):
-            if len(self.terminals) >= self.most:
+            if len(self.clients) >= self.most:
                 # Guards the descriptors: an accept that fails for want of one would spin the loop.
                 self._pause_accepting()
                 self._make_room()
@@ -391,9 +391,9 @@
     def _adopt(self, sock: socket.socket, fresh: bool) -> None:
         """Serve a client's connection, on which something was asked before or not."""
         sock.setblocking(False)
-        terminal = _Terminal(sock, fresh)
-        self.terminals.add(terminal)
-        terminal.task = self.scheduler.spawn("terminal", self._serve, terminal)
+        client = _Client(sock, fresh)
+        self.clients.add(client)
+        client.task = self.scheduler.spawn("client", self._serve, client)
 
     def _make_room(self) -> None:
         """All places are taken: those that ask nothing give theirs to those that wait outside.
@@ -411,7 +411,7 @@
     def _look_again(self) -> None:
         if self._accepting or self._listener is None:
             return
-        if len(self.terminals) >= self.most:
+        if len(self.clients) >= self.most:
             self._make_room()
         else:
             self._resume_accepting()
@@ -423,41 +423,41 @@
             self._retire(self.idle, now - CROWDED_IDLE_NS, self.most)
         self.scheduler.call_at(now + SWEEP_NS, self._sweep)
 
-    def _retire(self, places: dict[_Terminal, int], before: int, most: int) -> bool:
-        """Have the terminals end that have been quiet since `before`, the longest first; true if there are any."""
+    def _retire(self, places: dict[_Client, int], before: int, most: int) -> bool:
+        """Have the clients end that have been quiet since `before`, the longest first; true if there are any."""
         old = [t for t, since in itertools.islice(places.items(), most) if since <= before]
-        for terminal in old:
-            del places[terminal]
-            terminal.retired, terminal.overdue = True, places is self.half
-            terminal.task.wake()
+        for client in old:
+            del places[client]
+            client.retired, client.overdue = True, places is self.half
+            client.task.wake()
         return bool(old)
 
-    def _serve(self, terminal: _Terminal) -> None:
+    def _serve(self, client: _Client) -> None:
         """One connection's life: request after request, one answer each, and one way to end."""
         try:
-            self._part(terminal, self._converse(terminal))
+            self._part(client, self._converse(client))
         except (OSError, http.Truncated, Cancelled):
             pass  # the client left, or is too slow to matter
         finally:
-            if not terminal.passed:
-                terminal.sock.close()
-            self.terminals.discard(terminal)
-            self._unlist(terminal)
+            if not client.passed:
+                client.sock.close()
+            self.clients.discard(client)
+            self._unlist(client)
             self._resume_accepting()
             self._end_if_done()
 
-    def _unlist(self, terminal: _Terminal) -> None:
+    def _unlist(self, client: _Client) -> None:
         for places in (self.silent, self.idle, self.half):
-            places.pop(terminal, None)
+            places.pop(client, None)
 
-    def _converse(self, terminal: _Terminal) -> int:
+    def _converse(self, client: _Client) -> int:
         """Answer what is asked until the connection is to end; how long (ns) the client may take for its part."""
-        first = terminal.fresh
+        first = client.fresh
         try:
             while True:
-                message = self._read(terminal, first)
-                if message is None or not self._exchange(terminal, message):
-                    sending = terminal.reader.head is not None and not terminal.overdue
+                message = self._read(client, first)
+                if message is None or not self._exchange(client, message):
+                    sending = client.reader.head is not None and not client.overdue
                     return UNREAD_NS if sending else PART_NS
                 first = False
         except http.Malformed as fault:
@@ -466,50 +466,50 @@
         except (OSError, http.Truncated, Cancelled):
             raise
         except Exception:
-            # Guards the process and the transaction: whatever goes wrong here ends as a 500 for it alone.
-            logger.exception("a terminal's request failed")
+            # Guards the process and the request: whatever goes wrong here ends as a 500 for it alone.
+            logger.exception("a client's request failed")
             status, reason = 500, "internal error"
-        self._write(terminal, http.response(status, reason.encode() + b"\n", _PLAIN, close=True))
+        self._write(client, http.response(status, reason.encode() + b"\n", _PLAIN, close=True))
         return PART_NS
 
-    def _part(self, terminal: _Terminal, ns: int) -> None:
+    def _part(self, client: _Client, ns: int) -> None:
         """The one way to end a connection: shut the sending side, read and drop to its end or a bound, close.
 
         A close over unread bytes would reset the last answer away. What is read here came after the shutdown: it is
         never sent on, and the client, which sees the end, asks again elsewhere.
         """
-        self._unlist(terminal)
-        if terminal.passed or terminal.cut:
+        self._unlist(client)
+        if client.passed or client.cut:
             return
-        terminal.sock.shutdown(socket.SHUT_WR)
+        client.sock.shutdown(socket.SHUT_WR)
         deadline = clock() + ns
         for _ in range(2 * http.LONGEST_BODY // RECEIVE):
-            self.scheduler.wait(terminal.fd, READ, deadline)
+            self.scheduler.wait(client.fd, READ, deadline)
             with suppress(BlockingIOError):
-                if not terminal.sock.recv(RECEIVE):
+                if not client.sock.recv(RECEIVE):
                     return
 
-    def _read(self, terminal: _Terminal, first: bool) -> http.Message | None:
+    def _read(self, client: _Client, first: bool) -> http.Message | None:
         """The next request; None when the connection is over."""
-        reader = terminal.reader
+        reader = client.reader
         begun, continued, leave_at, over = not reader.empty, False, 0, False
         message = reader.feed(b"") if begun else None
         begun = begun and not reader.empty
         if message is None and not begun:
-            (self.silent if first else self.idle)[terminal] = clock()
+            (self.silent if first else self.idle)[client] = clock()
         # Guards against clients that say nothing, or begin a request and never end it: they hold a place.
-        deadline = terminal.opened + REQUEST_NS if first else clock() + (REQUEST_NS if begun else IDLE_NS)
-        terminal.begun, terminal.head_at, terminal.held_up = deadline - REQUEST_NS, 0, 0
+        deadline = client.opened + REQUEST_NS if first else clock() + (REQUEST_NS if begun else IDLE_NS)
+        client.begun, client.head_at, client.held_up = deadline - REQUEST_NS, 0, 0
         while message is None:
             if self.passing and reader.empty:
-                terminal.passed = True
-                self.handover.pass_on(terminal.sock, first)
+                client.passed = True
+                self.handover.pass_on(client.sock, first)
                 return None
-            if terminal.overdue and not reader.empty:
+            if client.overdue and not reader.empty:
                 return None
-            if (self.closing or terminal.retired) and reader.empty:
+            if (self.closing or client.retired) and reader.empty:
                 # A request that crosses the end of the grace on its way is still taken.
-                leave_at = leave_at or clock() + (0 if terminal.retired else LINGER_NS)
+                leave_at = leave_at or clock() + (0 if client.retired else LINGER_NS)
                 deadline = min(deadline, leave_at)
             head = reader.head
             if (
@@ -518,118 +518,118 @@
                 and head.fields.get(b"expect", b"").lower() == b"100-continue"
             ):
                 continued = True
-                self._write(terminal, b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._write(client, b"HTTP/1.1 100 Continue\r\n\r\n")
             if head is not None:
-                if not terminal.head_at:
-                    terminal.head_at = terminal.heard = clock()
+                if not client.head_at:
+                    client.head_at = client.heard = clock()
                 if reader.long:
-                    self.half.pop(terminal, None)
+                    self.half.pop(client, None)
                     return http.Message(head, b"")  # its body is passed on while it comes
-                deadline = terminal.body_by()
+                deadline = client.body_by()
             try:
                 try:
-                    self.scheduler.wait(terminal.fd, READ, deadline)
+                    self.scheduler.wait(client.fd, READ, deadline)
                 except TimeoutError:
                     if not reader.empty:
                         raise http.Malformed(408, "the request did not become whole in time") from None
                     # What came in this very moment is served: it was there before the connection is shut.
                     over = True
-                data = terminal.sock.recv(RECEIVE)
+                data = client.sock.recv(RECEIVE)
             except BlockingIOError:
                 if over and reader.empty:
                     return None
                 continue
-            terminal.heard = now = clock()
+            client.heard = now = clock()
             if not begun:
                 begun = True
-                (self.silent if first else self.idle).pop(terminal, None)
+                (self.silent if first else self.idle).pop(client, None)
                 if not first:
                     deadline = now + REQUEST_NS
-                    terminal.begun = now
+                    client.begun = now
             message = reader.feed(data) if data else reader.end()
-            self.half.pop(terminal, None)
+            self.half.pop(client, None)
             if message is None:
                 if not data:
-                    terminal.cut = True
+                    client.cut = True
                     return None
-                self.half[terminal] = terminal.heard
+                self.half[client] = client.heard
         return message
 
-    def _write(self, terminal: _Terminal, data: bytes) -> None:
+    def _write(self, client: _Client, data: bytes) -> None:
         """Write it all, however slowly it is taken; raises `TimeoutError` where nothing is for `STALL_NS`."""
-        send_all(terminal.sock, data, lambda: self.scheduler.wait(terminal.fd, WRITE, clock() + STALL_NS))
+        send_all(client.sock, data, lambda: self.scheduler.wait(client.fd, WRITE, clock() + STALL_NS))
 
     # ---- requests
 
-    def _exchange(self, terminal: _Terminal, message: http.Message) -> bool:
+    def _exchange(self, client: _Client, message: http.Message) -> bool:
         """Answer one request; false when the connection ends with it."""
         head = message.head
         arrived = clock()
         if head.target == b"/_health":
-            if head.method not in (b"GET", b"HEAD") or terminal.reader.long:
+            if head.method not in (b"GET", b"HEAD") or client.reader.long:
                 raise http.Malformed(405, "GET only")
-            status, keep = 200 if self.sidecar.ready else 503, self.keeps(terminal, head)
-            self._write(terminal, http.response(status, b"", _PLAIN, close=not keep))
+            status, keep = 200 if self.sidecar.ready else 503, self.keeps(client, head)
+            self._write(client, http.response(status, b"", _PLAIN, close=not keep))
             return keep
-        passage = _Passage(self, terminal, head)
-        transaction = self._transaction(terminal, message, arrived, passage)
-        terminal.answer = None
-        if not self.sidecar.submit(transaction):
+        passage = _Passage(self, client, head)
+        request = self._request(client, message, arrived, passage)
+        client.answer = None
+        if not self.sidecar.submit(request):
             if not passage.ended:
                 raise http.Malformed(409, "this call id is in flight")
-            keep = self.keeps(terminal, head)
-            self._write(terminal, http.response(409, b"this call id is in flight\n", _PLAIN, close=not keep))
+            keep = self.keeps(client, head)
+            self._write(client, http.response(409, b"this call id is in flight\n", _PLAIN, close=not keep))
             return keep
-        if not self._await_answer(terminal, transaction):
-            terminal.cut = True
+        if not self._await_answer(client, request):
+            client.cut = True
             return False
-        if passage.fault is not None and not transaction.begun:
+        if passage.fault is not None and not request.begun:
             raise passage.fault
-        if terminal.answer.passed:
-            terminal.cut = terminal.answer.ending is not Ending.SERVED
-            return passage.keep and not terminal.cut
-        keep = passage.ended and self.keeps(terminal, head)
-        self._write(terminal, _answer_bytes(terminal.answer, close=not keep))
+        if client.answer.passed:
+            client.cut = client.answer.ending is not Ending.SERVED
+            return passage.keep and not client.cut
+        keep = passage.ended and self.keeps(client, head)
+        self._write(client, _answer_bytes(client.answer, close=not keep))
         return keep
 
-    def keeps(self, terminal: _Terminal, head: http.Head) -> bool:
+    def keeps(self, client: _Client, head: http.Head) -> bool:
         """Does the connection go on after this request's answer?
 
         Guards clients whose share of connections is full of kept ones, on which nobody asks again: where they
         hold many, a connection ends with its answer, whatever was asked.
         """
-        return head.keeps_alive and not (self.closing or self.crowded or terminal.retired)
+        return head.keeps_alive and not (self.closing or self.crowded or client.retired)
 
-    def _await_answer(self, terminal: _Terminal, transaction: Transaction) -> bool:
+    def _await_answer(self, client: _Client, request: ClientRequest) -> bool:
         """Wait for the core, and see it when the client hangs up meanwhile; false if it did."""
         events = READ
         try:
-            while terminal.answer is None:
+            while client.answer is None:
                 try:
-                    if terminal.owned:
+                    if client.owned:
                         self.scheduler.wait(-1, 0, None)
                         continue
-                    busy = not transaction.whole or transaction.begun  # the routed task reads or writes there
+                    busy = not request.whole or request.begun  # the attempt reads or writes there
                     events = HANG_UP if busy else events
-                    seen = self.scheduler.wait(terminal.fd, events, transaction.deadline)
-                    if seen and not seen & HANG_UP and terminal.sock.recv(1, socket.MSG_PEEK):
+                    seen = self.scheduler.wait(client.fd, events, request.deadline)
+                    if seen and not seen & HANG_UP and client.sock.recv(1, socket.MSG_PEEK):
                         # An early next request stays in the kernel until this one is answered.
                         events = HANG_UP
                     elif seen:
-                        self.sidecar.hang_up(transaction)
+                        self.sidecar.hang_up(request)
                         return False
                 except BlockingIOError:
                     continue
                 except TimeoutError:
-                    self.sidecar.expire(transaction)
+                    self.sidecar.expire(request)
         except BaseException:
-            self.sidecar.hang_up(transaction)
+            self.sidecar.hang_up(request)
             raise
-        return terminal.answer is not None
+        return client.answer is not None
 
-    def _transaction(
-        self, terminal: _Terminal, message: http.Message, arrived: int, passage: _Passage
-    ) -> Transaction:
+    def _request(
+        self, client: _Client, message: http.Message, arrived: int, passage: _Passage
+    ) -> ClientRequest:
         """Read the platform's headers."""
         head = message.head
         fields = head.fields
@@ -676,11 +676,11 @@
             return http.request(head.method, head.target, lines + left, body)
 
         def deliver(answer: Answer) -> None:
-            terminal.answer = answer
-            if terminal.task is not self.scheduler.current:
-                terminal.task.wake()
+            client.answer = answer
+            if client.task is not self.scheduler.current:
+                client.task.wake()
 
-        return Transaction(
+        return ClientRequest(
             call_id.decode("latin-1"),
             class_name,
             arrived + budget_ns,
@@ -711,7 +711,7 @@
     if answer.ending is Ending.SERVED:
         lines = b"Content-Type: %b\r\n" % answer.media_type if answer.media_type else b""
         return http.response(200, answer.body, lines, close)
-    if answer.ending is Ending.SHORT:
+    if answer.ending is Ending.REFUSED:
         lines = _PLAIN
         if answer.retry_after_ns:
             lines += b"Retry-After: %.3f\r\n" % (answer.retry_after_ns / mi.NS_PER_S)
--- a/iristrack/net/http.py
+++ b/iristrack/net/http.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 parsers and writers: functions of bytes, without sockets, time or the platform's header names.
 
 This file owns what is a well-formed message and where it ends. It must never read or write a socket, and it
-knows nothing of transactions, classes or pool servers: the platform's headers belong to the front.
+knows nothing of requests, classes or pool servers: the platform's headers belong to the front.
 """
 
 from __future__ import annotations
--- a/iristrack/net/scheduler.py
+++ b/iristrack/net/scheduler.py
@@ -1,7 +1,7 @@
 """Greenlets over `select.poll`: tasks, waits with deadlines, timers and cancellation.
 
 This file owns the one loop of the process and its one clock. It knows file descriptors and time, and nothing
-of what they carry: no HTTP, no transactions, no decisions. It must never let a task's failure end the loop.
+of what they carry: no HTTP, no requests, no decisions. It must never let a task's failure end the loop.
 """
 
 from __future__ import annotations
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -1,9 +1,9 @@
 """The core: one `Balancer`, fed with events and obeyed action by action, directly on the sockets.
 
-This file owns transactions, routed tasks, probes and timers; connections to pool servers are `links.py`'s, calls to
+This file owns requests, attempts, probes and timers; connections to pool servers are `links.py`'s, calls to
 discovery `discovery.py`'s.
 It must never pick a pool server, retry or refuse by its own taste: decisions come from `balance.py` alone.
-It does not know how terminals speak: a front hands it transactions, which hold nothing of the front's
+It does not know how clients speak: a front hands it requests, which hold nothing of the front's
 protocol, and gets each one's only answer through `deliver`.
 """
 
@@ -41,36 +41,36 @@
 
 
 class Ending(Enum):
-    """How a transaction ended for its terminal."""
+    """How a request ended for its client."""
 
     SERVED = "served"
-    SHORT = "short on capacity"  # the short-on-capacity reply: trying again does no harm
+    REFUSED = "refused"  # trying again does no harm
     FAILED = "failed"
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """The one final answer of a transaction."""
+    """The one final answer of a request."""
 
     ending: Ending
     body: bytes = b""
     media_type: bytes = b""
     retry_after_ns: int = 0
-    passed: bool = False  # the terminal has it already, as far as there was any of it
+    passed: bool = False  # the client has it already, as far as there was any of it
     fault: bool = False  # the sidecar itself is at fault
     late: bool = False  # nobody answered in time
 
 
-class TerminalLeft(Exception):
-    """The terminal left, or neither gave nor took anything for too long, while a long message was passed on."""
+class ClientLeft(Exception):
+    """The client left, or neither gave nor took anything for too long, while a long message was passed on."""
 
 
 class Passage(Protocol):
-    """How long messages get from and to a terminal: a front's side of it, used by the routed task alone.
+    """How long messages get from and to a client: a front's side of it, used by the attempt alone.
 
-    Each may wait and raises `TerminalLeft`. `read` gives the next bytes for the pool server, about `size`, and none
+    Each may wait and raises `ClientLeft`. `read` gives the next bytes for the pool server, about `size`, and none
     once the request has ended. `begin` tells the answer's media type and, where it is known, its length. `present`
-    does not wait: is the terminal still there, whatever the loop has come to see of it?
+    does not wait: is the client still there, whatever the loop has come to see of it?
     """
 
     def read(self, size: int) -> bytes: ...  # noqa: D102
@@ -84,8 +84,8 @@
     def present(self) -> bool: ...  # noqa: D102
 
 
-class Transaction:
-    """What a terminal asked for, from its arrival to its one answer."""
+class ClientRequest:
+    """What a client asked for, from its arrival to its one answer."""
 
     __slots__ = (
         "answered", "attempt", "begun", "budget_ns", "deliver", "encode", "give_up_ns", "id", "kept", "key", "long",
@@ -130,7 +130,7 @@
         self.work_hint_ns = work_hint_ns
         self.write = write
         self.answered = False
-        self.attempt = -1  # number of the last routed task
+        self.attempt = -1  # number of the last attempt
         self.task: Task | None = None  # the one that is out
 
     @property
@@ -145,7 +145,7 @@
 
     taken: int = 0
     served: int = 0
-    short: int = 0
+    refused: int = 0
     failed: int = 0
     gone: int = 0
     worst_pause_ns: int = 0
@@ -161,8 +161,8 @@
         self.succeeded = dict.fromkeys((c.name for c in classes), 0)
         self.declined = dict(self.succeeded)
         self.aborted = dict(self.succeeded)
-        self.forwards = 0  # routed tasks whose last byte was written
-        self.outstanding = 0  # transactions taken and not ended
+        self.forwards = 0  # attempts whose last byte was written
+        self.outstanding = 0  # requests taken and not ended
 
 
 class Sidecar:
@@ -174,14 +174,12 @@
         self.config = config
         self.settings = config.settings
         self.balancer = Balancer(config.settings, config.seed, learned)
-        self.transactions: dict[str, Transaction] = {}
+        self.requests: dict[str, ClientRequest] = {}
         self.passing = 0  # long messages on their way
         self.ready = False  # can it serve: is there a server list?
         self.counts = Counts()
         self.figures = Figures(config.settings.classes)
-        self.trace = (
-            False  # a DEBUG line for each routed task and each answer, by call id (`--log-level DEBUG`)
-        )
+        self.trace = False  # a DEBUG line for each attempt and each answer, by call id (`--log-level DEBUG`)
         self._cpu = process_time()
         self._gc_began = 0
         limits = self.settings.limits
@@ -194,7 +192,7 @@
         self.probe_timeout_ns = min(c.aim_ns for c in self.settings.classes)
         self.actions: dict[type, Callable[..., None]] = {
             mi.Send: self._send,
-            mi.Reject: lambda a: self._answer(a.id, Answer(Ending.SHORT, retry_after_ns=a.retry_after_ns)),
+            mi.Reject: lambda a: self._answer(a.id, Answer(Ending.REFUSED, retry_after_ns=a.retry_after_ns)),
             mi.Fail: lambda a: self._answer(a.id, Answer(Ending.FAILED)),
             mi.Cancel: self._cancel,
             mi.SetTimer: lambda a: self.scheduler.call_at(
@@ -232,7 +230,7 @@
             self.discovery.follow(discovery)
 
     def stop(self) -> None:
-        """End what runs beside the transactions."""
+        """End what runs beside the requests."""
         self.discovery.subscribe(False)
         self.links.stop()
         self.report()
@@ -252,9 +250,9 @@
         counts, links, scheduler, cpu = self.counts, self.links, self.scheduler, process_time()
         if counts.taken:
             logger.info(
-                "taken {} served {} short {} failed {} gone {}; connections opened {} reused {} stale {}"
+                "taken {} served {} refused {} failed {} gone {}; connections opened {} reused {} stale {}"
                 " open {}; cpu {:.2f} ms each; worst turn {:.1f} ms, timer {:.1f} ms late, gc {:.1f} ms",
-                counts.taken, counts.served, counts.short, counts.failed, counts.gone, links.opened,
+                counts.taken, counts.served, counts.refused, counts.failed, counts.gone, links.opened,
                 links.reused, links.stale, links.open, (cpu - self._cpu) * 1e3 / counts.taken,
                 scheduler.worst_turn_ns / 1e6, scheduler.worst_late_ns / 1e6, counts.worst_pause_ns / 1e6,
             )  # fmt: skip
@@ -270,7 +268,7 @@
         try:
             actions = self.balancer.handle(clock(), event)
         except Exception:
-            # Guards the process and the terminal: a transaction that the module stumbles over still gets
+            # Guards the process and the client: a request that the module stumbles over still gets
             # its answer, and the others go on.
             logger.exception("the module failed at {}", type(event).__name__)
             self._answer(getattr(event, "id", ""), Answer(Ending.FAILED, fault=True))
@@ -282,85 +280,85 @@
                 logger.exception("an action failed: {}", type(action).__name__)
                 self._answer(getattr(action, "id", ""), Answer(Ending.FAILED, fault=True))
 
-    # ---- transactions
+    # ---- requests
 
-    def submit(self, transaction: Transaction) -> bool:
-        """Take a transaction; false, and nothing is taken, while another of its id is in flight."""
-        if transaction.id in self.transactions:
-            # Guards the terminal: the module passes over such a request, which then nobody would answer.
+    def submit(self, request: ClientRequest) -> bool:
+        """Take a request; false, and nothing is taken, while another of its id is in flight."""
+        if request.id in self.requests:
+            # Guards the client: the module passes over such a request, which then nobody would answer.
             return False
-        self.transactions[transaction.id] = transaction
+        self.requests[request.id] = request
         self.counts.taken += 1
-        self.figures.outstanding += transaction.whole
+        self.figures.outstanding += request.whole
         self.feed(
             mi.Request(
-                transaction.id,
-                transaction.request_class,
-                transaction.give_up_ns - REPLY_MARGIN_NS,
-                transaction.key,
-                transaction.tenant,
-                transaction.work_hint_ns,
-                transaction.retry,
-                transaction.write,
-                transaction.long,
+                request.id,
+                request.request_class,
+                request.give_up_ns - REPLY_MARGIN_NS,
+                request.key,
+                request.tenant,
+                request.work_hint_ns,
+                request.retry,
+                request.write,
+                request.long,
             )
         )
         return True
 
-    def hang_up(self, transaction: Transaction) -> None:
-        """The terminal left: nothing is owed any more."""
-        if not transaction.answered:
+    def hang_up(self, request: ClientRequest) -> None:
+        """The client left: nothing is owed any more."""
+        if not request.answered:
             self.counts.gone += 1
-            self._end(transaction, None)
-            if (transaction.begun or not transaction.whole) and transaction.task is not None:
-                # There is nobody left to whom, or from whom, the rest could be passed; and the routed task must not
+            self._end(request, None)
+            if (request.begun or not request.whole) and request.task is not None:
+                # There is nobody left to whom, or from whom, the rest could be passed; and the attempt must not
                 # wait on a descriptor that its front is about to close.
-                transaction.task.cancel()
+                request.task.cancel()
 
-    def expire(self, transaction: Transaction) -> None:
+    def expire(self, request: ClientRequest) -> None:
         """The last guard of the one answer: the client's patience ends and the module has said nothing."""
-        if not transaction.answered:
-            logger.error("transaction {} had no answer in time", transaction.id)
-            self._end(transaction, Answer(Ending.FAILED, late=True))
+        if not request.answered:
+            logger.error("request {} had no answer in time", request.id)
+            self._end(request, Answer(Ending.FAILED, late=True))
 
-    def _end(self, transaction: Transaction, answer: Answer | None) -> None:
-        transaction.answered = True
-        self.figures.outstanding -= transaction.whole
+    def _end(self, request: ClientRequest, answer: Answer | None) -> None:
+        request.answered = True
+        self.figures.outstanding -= request.whole
         if answer is not None:
             self.counts.failed += 1
-            self.figures.aborted[transaction.request_class] += 1
-            transaction.deliver(answer)
-        self.feed(mi.ClientGone(transaction.id))
-        self._settle(transaction)
+            self.figures.aborted[request.request_class] += 1
+            request.deliver(answer)
+        self.feed(mi.ClientGone(request.id))
+        self._settle(request)
 
     def _answer(self, call_id: str, answer: Answer) -> None:
-        transaction = self.transactions.get(call_id)
-        if transaction is None or transaction.answered:
+        request = self.requests.get(call_id)
+        if request is None or request.answered:
             return
-        transaction.answered = True
-        figures, name = self.figures, transaction.request_class
-        figures.outstanding -= transaction.whole
+        request.answered = True
+        figures, name = self.figures, request.request_class
+        figures.outstanding -= request.whole
         if answer.ending is Ending.SERVED:
             self.counts.served += 1
             figures.succeeded[name] += 1
-        elif answer.ending is Ending.SHORT:
-            self.counts.short += 1
+        elif answer.ending is Ending.REFUSED:
+            self.counts.refused += 1
             figures.declined[name] += 1
         else:
             self.counts.failed += 1
             figures.aborted[name] += 1
         if self.trace:
             logger.debug(
-                "call {} {} answered {} after {} routed tasks, {} ms before its end",
-                call_id, name, answer.ending.name, transaction.attempt + 1,
-                (transaction.give_up_ns - clock()) // mi.NS_PER_MS,
+                "call {} {} answered {} after {} attempts, {} ms before its end",
+                call_id, name, answer.ending.name, request.attempt + 1,
+                (request.give_up_ns - clock()) // mi.NS_PER_MS,
             )  # fmt: skip
-        transaction.deliver(answer)
-        self._settle(transaction)
+        request.deliver(answer)
+        self._settle(request)
 
-    def _settle(self, transaction: Transaction) -> None:
-        if transaction.answered and transaction.task is None:
-            self.transactions.pop(transaction.id, None)
+    def _settle(self, request: ClientRequest) -> None:
+        if request.answered and request.task is None:
+            self.requests.pop(request.id, None)
 
     def stats(self) -> dict[str, int]:
         """The operators' figures by name, as of now."""
@@ -377,53 +375,49 @@
             "ejected": self.balancer.avoided(),
         }
 
-    # ---- routed tasks
+    # ---- attempts
 
     def _send(self, action: mi.Send) -> None:
-        transaction = self.transactions[action.id]
+        request = self.requests[action.id]
         now = clock()
-        deadline = transaction.give_up_ns - REPLY_MARGIN_NS
+        deadline = request.give_up_ns - REPLY_MARGIN_NS
         if action.timeout_ns:
             deadline = min(deadline, now + action.timeout_ns)
-        transaction.attempt += 1
+        request.attempt += 1
         if self.trace:
             logger.debug(
                 "call {} attempt {} to {} within {} ms",
-                action.id, transaction.attempt, action.server, (deadline - now) // mi.NS_PER_MS,
+                action.id, request.attempt, action.server, (deadline - now) // mi.NS_PER_MS,
             )  # fmt: skip
-        transaction.task = self.scheduler.spawn(
-            "routed task", self._route, transaction, transaction.attempt, action, now, deadline
+        request.task = self.scheduler.spawn(
+            "attempt", self._route, request, request.attempt, action, now, deadline
         )
 
     def _cancel(self, action: mi.Cancel) -> None:
-        transaction = self.transactions.get(action.id)
-        if transaction is not None and transaction.task is not None and transaction.attempt == action.attempt:
-            transaction.task.cancel()
+        request = self.requests.get(action.id)
+        if request is not None and request.task is not None and request.attempt == action.attempt:
+            request.task.cancel()
 
-    def _route(
-        self, transaction: Transaction, number: int, action: mi.Send, began: int, deadline: int
-    ) -> None:
-        """One routed task, from its connection to its outcome."""
+    def _route(self, request: ClientRequest, number: int, action: mi.Send, began: int, deadline: int) -> None:
+        """One attempt, from its connection to its outcome."""
         message, left, server = None, False, action.server
         try:
             outcome, message = self._call(
-                server, began, deadline, transaction.encode, transaction, number, action.begin_by_ns
+                server, began, deadline, request.encode, request, number, action.begin_by_ns
             )
         except Cancelled:
             outcome = mi.Outcome.CANCELLED
-        except TerminalLeft:
+        except ClientLeft:
             outcome, left = mi.Outcome.CANCELLED, True
         except Exception:
-            # Guards the process: the fault ends this transaction, which may have reached a server.
-            logger.exception("a routed task failed")
+            # Guards the process: the fault ends this request, which may have reached a server.
+            logger.exception("an attempt failed")
             outcome = mi.Outcome.RESET
-            self._answer(transaction.id, Answer(Ending.FAILED, fault=True, passed=transaction.begun))
-        transaction.task = None
+            self._answer(request.id, Answer(Ending.FAILED, fault=True, passed=request.begun))
+        request.task = None
         if left:
-            self.hang_up(transaction)
-            transaction.deliver(
-                Answer(Ending.FAILED, passed=True)
-            )  # its front looks after what is left of it
+            self.hang_up(request)
+            request.deliver(Answer(Ending.FAILED, passed=True))  # its front looks after what is left of it
         report = None
         if message is not None:
             fields = message.head.fields
@@ -431,20 +425,18 @@
             if outcome is mi.Outcome.OK:
                 media_type = fields.get(b"content-type", b"")
                 self._answer(
-                    transaction.id, Answer(Ending.SERVED, message.body, media_type, passed=transaction.begun)
+                    request.id, Answer(Ending.SERVED, message.body, media_type, passed=request.begun)
                 )
-        if transaction.begun:  # and could not be finished
-            self._answer(transaction.id, Answer(Ending.FAILED, passed=True))
-        final, latency = transaction.answered, clock() - began
+        if request.begun:  # and could not be finished
+            self._answer(request.id, Answer(Ending.FAILED, passed=True))
+        final, latency = request.answered, clock() - began
         if self.trace:
             logger.debug(
                 "call {} attempt {} at {}: {} after {} ms{}",
-                transaction.id, number, server, outcome.name, latency // mi.NS_PER_MS, ", final" if final else "",
+                request.id, number, server, outcome.name, latency // mi.NS_PER_MS, ", final" if final else "",
             )  # fmt: skip
-        self.feed(
-            mi.AttemptEnded(transaction.id, number, server, outcome, final, latency, report, transaction.kept)
-        )
-        self._settle(transaction)
+        self.feed(mi.AttemptEnded(request.id, number, server, outcome, final, latency, report, request.kept))
+        self._settle(request)
 
     def _call(
         self,
@@ -452,42 +444,42 @@
         began: int,
         deadline: int,
         encode: Callable[[int], bytes],
-        transaction: Transaction | None = None,
+        request: ClientRequest | None = None,
         number: int = 0,
         begin_by: int = 0,
     ) -> tuple[mi.Outcome, http.Message | None]:
-        """One request to a pool server: how it ended, and the answer if there was one. A probe has no transaction.
+        """One request to a pool server: how it ended, and the answer if there was one. A probe has no request.
 
         Before it returns, or raises, its connection is put back or closed: the module may send again as soon
         as it hears of the end, and a given-up attempt on an open connection would be a second copy then.
         """
         link, written, keep = None, False, False
-        long = transaction is not None and transaction.long
+        long = request is not None and request.long
         try:
             self.scheduler.checkpoint()
-            if long and not transaction.kept:
+            if long and not request.kept:
                 return mi.Outcome.NOT_SENT, None  # its beginning is no longer here
             link = self.links.take(server, min(deadline, began + self.connect_timeout_ns))
             if link is None:
                 return mi.Outcome.NOT_SENT, None
             keep = not link.idle_since  # where nothing is sent, a new connection can still be of use
-            if not self._may_begin(transaction, link.target, begin_by):
+            if not self._may_begin(request, link.target, begin_by):
                 return mi.Outcome.NOT_SENT, None
             keep = False
-            left = transaction.budget_ns if long else deadline - clock()
+            left = request.budget_ns if long else deadline - clock()
             link.write(encode(left), deadline)
             if long:
-                if not self._pass_request(link, transaction, number):
+                if not self._pass_request(link, request, number):
                     return self._early(link)
-                deadline = transaction.give_up_ns - REPLY_MARGIN_NS
+                deadline = request.give_up_ns - REPLY_MARGIN_NS
             written = True
-            self.figures.forwards += transaction is not None
-            message = link.read(deadline, HOLD_NS if transaction is not None else 0)
+            self.figures.forwards += request is not None
+            message = link.read(deadline, HOLD_NS if request is not None else 0)
             if message is None:
                 message = http.Message(link.reader.head, b"")
                 outcome = _classify(message)
                 if outcome is mi.Outcome.OK:
-                    self._pass_answer(link, transaction, number, server, began)
+                    self._pass_answer(link, request, number, server, began)
                     keep = message.head.keeps_alive and link.reader.empty
                 return outcome, message
             keep = message.head.keeps_alive and link.reader.empty
@@ -514,23 +506,23 @@
         room = (self.config.memory_mb << 20) // LONG_SHARE or RECEIVE * self.links.most
         return max(LEAST_PIECE, min(RECEIVE, room // (2 * max(1, self.passing))))
 
-    def _pass_request(self, link: Link, transaction: Transaction, number: int) -> bool:
+    def _pass_request(self, link: Link, request: ClientRequest, number: int) -> bool:
         """Pass on the body of a long request as it comes; false where the pool server spoke before its end."""
         self.passing += 1
         try:
-            while data := transaction.passage.read(self.piece()):
-                transaction.kept = False
+            while data := request.passage.read(self.piece()):
+                request.kept = False
                 if not link.quiet():
                     return False
                 send_all(link.sock, data, lambda: self.scheduler.wait(link.fd, WRITE, clock() + STALL_NS))
         finally:
             self.passing -= 1
         now = clock()
-        transaction.give_up_ns = now + transaction.budget_ns
-        if not transaction.answered:
-            transaction.whole = True
+        request.give_up_ns = now + request.budget_ns
+        if not request.answered:
+            request.whole = True
             self.figures.outstanding += 1
-        self.feed(mi.AttemptWritten(transaction.id, number, transaction.give_up_ns - REPLY_MARGIN_NS))
+        self.feed(mi.AttemptWritten(request.id, number, request.give_up_ns - REPLY_MARGIN_NS))
         return True
 
     def _early(self, link: Link) -> tuple[mi.Outcome, http.Message | None]:
@@ -543,16 +535,14 @@
             return mi.Outcome.REJECTED, message
         return mi.Outcome.CONNECT_FAILED, None
 
-    def _pass_answer(
-        self, link: Link, transaction: Transaction, number: int, server: str, began: int
-    ) -> None:
-        """Pass on an answer as it comes. It is the terminal's from now on: only silence ends it."""
-        reader, passage = link.reader, transaction.passage
-        transaction.begun = True
+    def _pass_answer(self, link: Link, request: ClientRequest, number: int, server: str, began: int) -> None:
+        """Pass on an answer as it comes. It is the client's from now on: only silence ends it."""
+        reader, passage = link.reader, request.passage
+        request.begun = True
         self.passing += 1
         try:
             passage.begin(reader.head.fields.get(b"content-type", b""), reader.length)
-            self.feed(mi.AttemptStarted(transaction.id, number, server, clock() - began))
+            self.feed(mi.AttemptStarted(request.id, number, server, clock() - began))
             while True:
                 data = reader.take()
                 if data:
@@ -568,24 +558,24 @@
         finally:
             self.passing -= 1
 
-    def _may_begin(self, transaction: Transaction | None, target: Target, begin_by: int) -> bool:
+    def _may_begin(self, request: ClientRequest | None, target: Target, begin_by: int) -> bool:
         """The one look at the first byte, long after the decision where a connection was late to come up.
 
         Held here: the server is still the process that was chosen, and its drain grace is not over (rule 3); the
-        time by which the module wants the attempt begun has not passed (rule 2); the transaction still wants an
-        answer, and its terminal is there. Raises `TerminalLeft` where only that last one is false.
+        time by which the module wants the attempt begun has not passed (rule 2); the request still wants an
+        answer, and its client is there. Raises `ClientLeft` where only that last one is false.
         """
         grace = self.settings.contract.drain_grace_ns
         if self.links.targets.get(target.id) is not target:
             return False
         if target.away_since is not None and clock() >= target.away_since + grace:
             return False
-        if transaction is None:
+        if request is None:
             return True
-        if transaction.answered or (begin_by and clock() >= begin_by):
+        if request.answered or (begin_by and clock() >= begin_by):
             return False
-        if not transaction.passage.present():
-            raise TerminalLeft
+        if not request.passage.present():
+            raise ClientLeft
         return True
 
     # ---- probes
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,4 +1,4 @@
-"""What stands round the real program in its tests: discovery, pool servers and a terminal."""
+"""What stands round the real program in its tests: discovery, pool servers and a client."""
 
 from __future__ import annotations
 
@@ -218,14 +218,14 @@
     def _says(self, statuses: set[int]) -> bool:
         assert self.process.poll() is None, self.log.read_text()
         try:
-            return Terminal(self.port).exchange(b"GET /_health HTTP/1.1\r\n\r\n").head.status in statuses
+            return Client(self.port).exchange(b"GET /_health HTTP/1.1\r\n\r\n").head.status in statuses
         except OSError:
             return False
 
     def operators(self, path: str, method: str = "GET") -> http.Message:
         """One call at the door; the program was started with `admin_addr`."""
         port = int(self.config["admin_addr"].rpartition(":")[2])
-        return Terminal(port).exchange(f"{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n".encode())
+        return Client(port).exchange(f"{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n".encode())
 
     def says_yes(self) -> bool:
         with suppress(OSError):
@@ -238,7 +238,7 @@
         return {name: int(value) for name, value in pairs}
 
     def ask(self, call_id: str, name: str = "view", **more: object) -> http.Message:
-        return Terminal(self.port).exchange(call(call_id, name, **more))
+        return Client(self.port).exchange(call(call_id, name, **more))
 
 
 def call(
@@ -253,7 +253,7 @@
     return http.request(b"POST" if name == "pay" else b"GET", path, lines, body)
 
 
-class Terminal:
+class Client:
     """One client connection."""
 
     def __init__(self, port: int) -> None:
--- a/tests/test_cold_processes.py
+++ b/tests/test_cold_processes.py
@@ -11,7 +11,7 @@
 from collections import Counter
 
 import pytest
-from stage import SETTINGS, Program, Stage, Terminal, call, until
+from stage import SETTINGS, Client, Program, Stage, call, until
 
 from iristrack.net import http
 
@@ -60,7 +60,7 @@
     waiting = []
     for name, program in zip("abc", programs, strict=True):
         for i in range(60):
-            waiting.append(Terminal(program.port))
+            waiting.append(Client(program.port))
             waiting[-1].sock.sendall(call(f"{name}-{i}", key=f"k{i}"))
             time.sleep(0.02)  # so that cold servers' budgets have something to give
     for program in programs:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -13,13 +13,13 @@
 from iristrack.config import Config, flatten, read_address, read_settings
 from iristrack.net import http
 from iristrack.net.scheduler import Scheduler, clock
-from iristrack.net.sidecar import Answer, Ending, Sidecar, Transaction, most_connections
+from iristrack.net.sidecar import Answer, ClientRequest, Ending, Sidecar, most_connections
 
 LONG = 30 * mi.NS_PER_S
 
 
 class Present:
-    """A terminal that stays."""
+    """A client that stays."""
 
     def present(self) -> bool:
         return True
@@ -69,14 +69,14 @@
     def until(self, holds: Callable[[], object]) -> None:
         turn_until(self.scheduler, holds)
 
-    def submit(self, call_id: str, patience_ns: int = LONG) -> Transaction:
+    def submit(self, call_id: str, patience_ns: int = LONG) -> ClientRequest:
         def encode(left_ns: int) -> bytes:
             return http.request(b"GET", b"/api/k", b"X-Call-Id: %b\r\n" % call_id.encode())
 
         deliver = self.answers.append
-        transaction = Transaction(call_id, "view", clock() + patience_ns, encode, deliver, Present())
-        assert self.sidecar.submit(transaction)
-        return transaction
+        request = ClientRequest(call_id, "view", clock() + patience_ns, encode, deliver, Present())
+        assert self.sidecar.submit(request)
+        return request
 
 
 @pytest.fixture
@@ -120,7 +120,7 @@
     served = outcome is mi.Outcome.OK
     assert (ended.outcome, ended.final, ended.attempt, ended.server) == (outcome, served, 0, "s1")
     assert [a.ending for a in bench.answers] == ([Ending.SERVED] if served else [])
-    assert ("r1" in bench.sidecar.transactions) is not served
+    assert ("r1" in bench.sidecar.requests) is not served
 
 
 def test_what_was_refused_a_connection_could_not_connect(bench: Bench) -> None:
@@ -164,17 +164,17 @@
     pool = bench.pool("s1", silent)
     bench.start()
     bench.script.reply = send_once()
-    transaction = bench.submit("r1")
+    request = bench.submit("r1")
     bench.until(lambda: pool.heads)
     bench.script.reply = lambda event: [mi.Cancel("r1", 0)] if isinstance(event, mi.ClientGone) else []
-    bench.sidecar.hang_up(transaction)
+    bench.sidecar.hang_up(request)
     bench.until(lambda: bench.script.seen(mi.AttemptEnded))
     (ended,) = bench.script.seen(mi.AttemptEnded)
     assert (ended.outcome, ended.final) == (mi.Outcome.CANCELLED, True)
-    assert not bench.answers and not bench.sidecar.transactions
+    assert not bench.answers and not bench.sidecar.requests
 
 
-def test_a_module_that_fails_costs_one_transaction(bench: Bench) -> None:
+def test_a_module_that_fails_costs_one_request(bench: Bench) -> None:
     bench.pool("s1", serve)
     bench.start()
 
@@ -193,14 +193,14 @@
 def test_an_answer_is_given_once_and_nobody_waits_past_the_patience(bench: Bench) -> None:
     bench.start()
     bench.script.reply = lambda event: []
-    transaction = bench.submit("r1")
-    bench.sidecar.expire(transaction)  # the module has said nothing
-    bench.sidecar.expire(transaction)
+    request = bench.submit("r1")
+    bench.sidecar.expire(request)  # the module has said nothing
+    bench.sidecar.expire(request)
     assert [(a.ending, a.late) for a in bench.answers] == [(Ending.FAILED, True)]
     bench.script.reply = lambda event: [mi.Reject("r2", 5), mi.Fail("r2")] if event.id == "r2" else []
     bench.submit("r2")
-    assert [(a.ending, a.retry_after_ns) for a in bench.answers[1:]] == [(Ending.SHORT, 5)]
-    assert not bench.sidecar.transactions
+    assert [(a.ending, a.retry_after_ns) for a in bench.answers[1:]] == [(Ending.REFUSED, 5)]
+    assert not bench.sidecar.requests
 
 
 def test_probes_lists_timers_and_idle_connections_are_carried_out(bench: Bench) -> None:
@@ -242,8 +242,8 @@
     bench.until(lambda: "s9" in bench.sidecar.links.targets)
 
 
-def test_a_long_request_ends_with_its_terminal_even_where_the_module_calls_nothing_off(bench: Bench) -> None:
-    # Its routed task reads from the terminal's descriptor, which is another client's once it is closed.
+def test_a_long_request_ends_with_its_client_even_where_the_module_calls_nothing_off(bench: Bench) -> None:
+    # Its attempt reads from the client's descriptor, which is another client's once it is closed.
     class Waiting(Present):
         def read(self, size: int) -> bytes:
             bench.scheduler.wait(-1, 0, clock() + LONG)
@@ -252,17 +252,17 @@
     pool = bench.pool("s1", serve)
     bench.start()
     bench.script.reply = send_once()
-    transaction = Transaction(
+    request = ClientRequest(
         "r1", "pay", clock() + LONG, lambda ns: b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n",
         bench.answers.append, Waiting(), long=True, budget_ns=LONG,
     )  # fmt: skip
-    assert bench.sidecar.submit(transaction)
+    assert bench.sidecar.submit(request)
     bench.until(lambda: pool.open)
     assert bench.sidecar.figures.outstanding == 0  # it is taken once its last byte has come
-    bench.sidecar.hang_up(transaction)
+    bench.sidecar.hang_up(request)
     bench.until(lambda: bench.script.seen(mi.AttemptEnded) and not pool.open)
     assert bench.script.seen(mi.AttemptEnded)[0].outcome is mi.Outcome.CANCELLED
-    assert (pool.heads, bench.answers, bench.sidecar.transactions) == ([], [], {})
+    assert (pool.heads, bench.answers, bench.sidecar.requests) == ([], [], {})
 
 
 def test_the_clock_is_unix_time_so_that_starts_compare(bench: Bench) -> None:
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -1,4 +1,4 @@
-"""The cost of a transaction, in a unit that does not depend on the machine: calls made in the daemon a transaction.
+"""The cost of a request, in a unit that does not depend on the machine: calls made in the daemon a request.
 
 The real program runs under a profile hook that counts every Python and C call of its thread; SIGUSR1 has it write
 the count so far. Keep-alive GETs one after the other on one connection, with the loop otherwise idle, are the
@@ -14,11 +14,11 @@
 import sys
 from contextlib import suppress
 
-from stage import ROOT, SETTINGS, Stage, Terminal, call, free_port, until
+from stage import ROOT, SETTINGS, Client, Stage, call, free_port, until
 
 # A keep-alive GET, all that the daemon does for it: 379 with zones and the room of cold ones, 373 without; 390 once.
 MOST_CALLS = 386
-# The module's ticks come with time, not with transactions: few of them, so that a slow machine counts alike.
+# The module's ticks come with time, not with requests: few of them, so that a slow machine counts alike.
 RARE_TICKS_NS = 10**9
 WARM = 40
 MEASURED = 300
@@ -64,26 +64,26 @@
             [sys.executable, "-c", _COUNTING], cwd=ROOT,
             env=os.environ | {"NODE_CONFIG": str(path), "TMPDIR": ""}, stdout=out, stderr=out,
         )  # fmt: skip
-    terminals: list[Terminal] = []
+    clients: list[Client] = []
 
     def connected() -> bool:
         assert process.poll() is None, log.read_text()
         with suppress(OSError):
-            terminals.append(Terminal(port))
-        return bool(terminals)
+            clients.append(Client(port))
+        return bool(clients)
 
     try:
         until(connected)
-        terminal = terminals[0]
+        client = clients[0]
         for number in range(WARM):
-            assert terminal.exchange(call(f"w{number}")).head.status == 200
+            assert client.exchange(call(f"w{number}")).head.status == 200
         process.send_signal(signal.SIGUSR1)
         began = _said(log, 0)
         for number in range(MEASURED):
-            assert terminal.exchange(call(f"m{number}", key=f"k{number % 7}")).head.status == 200
+            assert client.exchange(call(f"m{number}", key=f"k{number % 7}")).head.status == 200
         process.send_signal(signal.SIGUSR1)
         each = (_said(log, 1) - began) / MEASURED
     finally:
         process.kill()
         process.wait()
-    assert 50 < each <= MOST_CALLS, f"{each:.0f} calls a transaction"
+    assert 50 < each <= MOST_CALLS, f"{each:.0f} calls a request"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -25,10 +25,10 @@
 from stage import (
     ROOT,
     SETTINGS,
+    Client,
     Discovery,
     Listener,
     Stage,
-    Terminal,
     call,
     free_port,
     serve,
@@ -143,7 +143,7 @@
     program = stage.start()
     for i in range(3):
         asked = call(f"r{i}", key="").replace(b"/api", path, 1)
-        assert Terminal(program.port).exchange(asked).head.status == 200
+        assert Client(program.port).exchange(asked).head.status == 200
     assert [head.target for pool in pools for head in pool.heads] == [path] * 3
 
 
@@ -185,9 +185,9 @@
     if loop_knows:
         inside.until(lambda: inside.core.counts.gone)
     up[0]()
-    inside.until(lambda: not inside.core.transactions)
+    inside.until(lambda: not inside.core.requests)
     assert not pool.heads and inside.core.counts.gone == 1
-    inside.until(lambda: not inside.front.terminals)
+    inside.until(lambda: not inside.front.clients)
 
 
 def test_many_that_leave_while_the_loop_is_busy_are_not_sent_on(stage: Stage) -> None:
@@ -196,10 +196,10 @@
     assert program.ask("first").head.status == 200
     program.process.send_signal(signal.SIGSTOP)
     for i in range(40):
-        terminal = Terminal(program.port)
-        terminal.sock.sendall(call(f"gone{i}"))
-        leave(terminal.sock, LEAVING[i % 4])
-    stays = Terminal(program.port)
+        client = Client(program.port)
+        client.sock.sendall(call(f"gone{i}"))
+        leave(client.sock, LEAVING[i % 4])
+    stays = Client(program.port)
     stays.sock.sendall(call("stays"))
     program.process.send_signal(signal.SIGCONT)
     assert stays.read().head.status == 200
@@ -216,7 +216,7 @@
     pools = [inside.pool(f"s{i}", turn_away_and_leave) for i in range(2)]
     inside.start()
     sock.append(inside.client(call("r1")))
-    inside.until(lambda: inside.core.counts.taken and not inside.core.transactions)
+    inside.until(lambda: inside.core.counts.taken and not inside.core.requests)
     assert sum(len(pool.heads) for pool in pools) == 1
 
 
@@ -251,7 +251,7 @@
     elif change == "grace over":
         target.away_since = clock() - inside.core.settings.contract.drain_grace_ns
     elif change == "answered":
-        inside.core.expire(inside.core.transactions["r1"])
+        inside.core.expire(inside.core.requests["r1"])
     else:
         until_then = clock() + 2 * MS
         inside.until(lambda: clock() > until_then)
@@ -316,11 +316,11 @@
     pool = inside.pool()
     inside.start()
     sock = inside.rest()
-    (terminal,) = inside.front.terminals
+    (client,) = inside.front.clients
     sock.sendall(call("crossing"))
-    assert select.select([terminal.sock], [], [], 60)[0]
+    assert select.select([client.sock], [], [], 60)[0]
     if reason == "idle":  # its time was over in the turn in which the bytes came: the loop saw that first
-        inside.scheduler.resume(terminal.task, TimeoutError())
+        inside.scheduler.resume(client.task, TimeoutError())
     else:
         inside.front._retire(inside.front.idle, clock(), 10)
     assert inside.hear(sock).head.status == 200
@@ -337,9 +337,9 @@
     pool = inside.pool()
     inside.start()
     sock = inside.rest()
-    (terminal,) = inside.front.terminals
+    (client,) = inside.front.clients
     if reason == "idle":
-        inside.scheduler.resume(terminal.task, TimeoutError())
+        inside.scheduler.resume(client.task, TimeoutError())
     elif reason == "place wanted":
         inside.front._retire(inside.front.idle, clock(), 10)
     else:
@@ -352,7 +352,7 @@
     assert "crossing" not in pool.ids()
     sock.setblocking(True)
     sock.close()
-    inside.until(lambda: terminal not in inside.front.terminals)
+    inside.until(lambda: client not in inside.front.clients)
 
 
 def test_the_listener_goes_last_and_nobody_outside_is_left(
@@ -372,7 +372,7 @@
     assert [inside.hear(sock).head.status for sock in outside] == [200] * 40
     for sock in outside:
         sock.close()
-    inside.until(lambda: not inside.front.terminals)
+    inside.until(lambda: not inside.front.clients)
     assert inside.front._listener is None
 
 
@@ -424,7 +424,7 @@
     assert [inside.hear(sock) for sock in kept] == [None] * 3  # and nothing keeps the process from its end
     for sock in kept:
         sock.close()
-    inside.until(lambda: not inside.front.terminals)
+    inside.until(lambda: not inside.front.clients)
 
 
 # ---- floods
@@ -468,7 +468,7 @@
             process.send_signal(signal.SIGHUP)
             assert process.poll() is None
             with suppress(OSError):
-                answered = Terminal(port).exchange(call("r1")).head.status == 200
+                answered = Client(port).exchange(call("r1")).head.status == 200
         process.send_signal(signal.SIGTERM)
         process.send_signal(signal.SIGHUP)
         process.send_signal(signal.SIGTERM)
@@ -487,7 +487,7 @@
         fd = sock.fileno()
 
     passage = _Passage.__new__(_Passage)
-    passage._terminal = Held
+    passage._client = Held
     client.sendall(b"early")
     assert passage.present()
     leave(client, how)
--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -11,7 +11,7 @@
 from collections import Counter
 
 import pytest
-from stage import Program, Stage, Terminal, call, until
+from stage import Client, Program, Stage, call, until
 
 from iristrack.net import http
 
@@ -45,13 +45,13 @@
 TOLD = {"report": {"how": "answers", "fields": ["err_rps", "avg_ms", "rps", "waiting"]}, "balancers": 2}
 
 
-def hold(program: Program, name: str, number: int) -> list[Terminal]:
+def hold(program: Program, name: str, number: int) -> list[Client]:
     """So many requests at once that the pool server keeps; back when the sidecar has taken them all."""
-    terminals = [Terminal(program.port) for _ in range(number)]
-    for i, terminal in enumerate(terminals):
-        terminal.sock.sendall(call(f"{name}-hold-{i}", key="hold"))
+    clients = [Client(program.port) for _ in range(number)]
+    for i, client in enumerate(clients):
+        client.sock.sendall(call(f"{name}-hold-{i}", key="hold"))
     until(lambda: program.figures()["outstanding"] >= number)
-    return terminals
+    return clients
 
 
 def listen(program: Program, name: str) -> None:
@@ -80,7 +80,7 @@
     busy.process.kill()
     until(lambda: node.held["b"] == 3)  # it hears nothing more, and forgets the crowd
     node.let_go.set()
-    assert [terminal.read().head.status for terminal in mine] == [200] * 3
+    assert [client.read().head.status for client in mine] == [200] * 3
     del kept
 
 
@@ -93,14 +93,14 @@
     mine = hold(light, "b", 3)
     assert node.held["b"] == 1
     node.let_go.set()
-    assert [terminal.read().head.status for terminal in mine] == [200] * 3
+    assert [client.read().head.status for client in mine] == [200] * 3
     node.lies = None
     node.let_go.clear()
     listen(light, "c")
     more = hold(light, "c", 3)
     until(lambda: node.held["c"] == 3)
     node.let_go.set()
-    assert [terminal.read().head.status for terminal in more] == [200] * 3
+    assert [client.read().head.status for client in more] == [200] * 3
 
 
 @pytest.mark.parametrize(
@@ -115,4 +115,4 @@
     kept += hold(light, "b", 3)
     until(lambda: node.held["b"] == 3 and node.held["a"] == 6)
     node.let_go.set()
-    assert [terminal.read().head.status for terminal in kept] == [200] * 9
+    assert [client.read().head.status for client in kept] == [200] * 9
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -11,7 +11,7 @@
 
 import pytest
 from loguru import logger
-from stage import ROOT, Stage, Terminal, call, error, free_port, reject, reset, serve, silent, until
+from stage import ROOT, Client, Stage, call, error, free_port, reject, reset, serve, silent, until
 
 from iristrack.config import ConfigError, load
 from iristrack.net.door import MOST_CALLERS, Door
@@ -30,7 +30,7 @@
     stage.discovery.quiet = True
     empty = {"revision": 0, "complete": True, "members": []}
     program = stage.start(ready=False, known=empty, **door)
-    assert program.operators("/healthcheck").head.status == 503  # no service table: nowhere to send
+    assert program.operators("/healthcheck").head.status == 503  # no server list: nowhere to send
     stage.discovery.quiet = False
     until(lambda: program.operators("/healthcheck").head.status == 200)
     program.process.send_signal(signal.SIGTERM)
@@ -52,7 +52,7 @@
 ) -> None:
     stage.pool("s1")
     stage.start(**door)
-    caller = Terminal(int(door["admin_addr"].rpartition(":")[2]))
+    caller = Client(int(door["admin_addr"].rpartition(":")[2]))
     assert caller.exchange(data).head.status == status
     assert caller.ended()
 
@@ -106,7 +106,7 @@
 def test_what_is_outstanding_falls_whatever_ends_it(stage: Stage, door: dict) -> None:
     held = stage.pool("s1", silent)
     program = stage.start(**door)
-    leaves, waits = Terminal(program.port), Terminal(program.port)
+    leaves, waits = Client(program.port), Client(program.port)
     leaves.sock.sendall(call("r1"))
     waits.sock.sendall(call("r2", "pay", budget="3000m"))
     until(lambda: len(held.heads) >= 2)
@@ -148,7 +148,7 @@
         for _ in range(5):
             before = scheduler.turns
             assert (
-                Terminal(door.address[1]).exchange(b"GET /stats HTTP/1.1\r\n\r\n").body
+                Client(door.address[1]).exchange(b"GET /stats HTTP/1.1\r\n\r\n").body
                 == b"node.outstanding=1\n"
             )
             turns.append(scheduler.turns - before)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -8,7 +8,7 @@
 import time
 
 import pytest
-from stage import Program, Stage, Terminal, call, error, reset, until
+from stage import Client, Program, Stage, call, error, reset, until
 
 from iristrack import interface as mi
 from iristrack.balance import Balancer
@@ -21,10 +21,10 @@
     return hashlib.sha256(b"tips").digest() * (size // 32)
 
 
-def long_terminal(program: Program) -> Terminal:
-    terminal = Terminal(program.port)
-    terminal.reader = http.Reader(response=True, limit=http.LONGEST_BODY, whole=http.LONGEST_BODY)
-    return terminal
+def long_client(program: Program) -> Client:
+    client = Client(program.port)
+    client.reader = http.Reader(response=True, limit=http.LONGEST_BODY, whole=http.LONGEST_BODY)
+    return client
 
 
 def digest(message: http.Message, sock: socket.socket) -> bytes:
@@ -43,24 +43,24 @@
     body = block(3 * MB)
     whole = call("r1", "pay", body=body)
     head, _, _ = whole.partition(b"\r\n\r\n")
-    terminal = long_terminal(program)
+    client = long_client(program)
     if form == "chunks":
         head = head.replace(b"Content-Length: %d" % len(body), b"Transfer-Encoding: chunked")
-        terminal.sock.sendall(head + b"\r\n\r\n" + chunks(body, 100_000))
+        client.sock.sendall(head + b"\r\n\r\n" + chunks(body, 100_000))
     elif form == "expect":
-        terminal.sock.sendall(head + b"\r\nExpect: 100-continue\r\n\r\n")
-        assert terminal.sock.recv(100).startswith(b"HTTP/1.1 100 ")
-        terminal.sock.sendall(body)
+        client.sock.sendall(head + b"\r\nExpect: 100-continue\r\n\r\n")
+        assert client.sock.recv(100).startswith(b"HTTP/1.1 100 ")
+        client.sock.sendall(body)
     else:
-        terminal.sock.sendall(whole)
-    assert terminal.read().body == hashlib.sha256(body).hexdigest().encode()
+        client.sock.sendall(whole)
+    assert client.read().body == hashlib.sha256(body).hexdigest().encode()
     assert b"expect" not in pool.heads[0].fields
-    assert terminal.exchange(call("r2")).head.status == 200  # the connection goes on
+    assert client.exchange(call("r2")).head.status == 200  # the connection goes on
 
 
 @pytest.mark.parametrize("form", ["length", "chunks", "close"])
 @pytest.mark.parametrize("version", [b"1.1", b"1.0"])
-def test_a_long_answer_reaches_the_terminal_as_it_was(stage: Stage, form: str, version: bytes) -> None:
+def test_a_long_answer_reaches_the_client_as_it_was(stage: Stage, form: str, version: bytes) -> None:
     body = block(3 * MB)
 
     def answer(message: http.Message, sock: socket.socket) -> bytes | None:
@@ -74,11 +74,11 @@
 
     pool = stage.pool("s1", answer)
     program = stage.start(admin_addr="127.0.0.1:0")
-    terminal = long_terminal(program)
-    got = terminal.exchange(call("r1").replace(b"HTTP/1.1", b"HTTP/" + version))
+    client = long_client(program)
+    got = client.exchange(call("r1").replace(b"HTTP/1.1", b"HTTP/" + version))
     assert (got.head.status, got.body == body) == (200, True)
     if version == b"1.1":
-        assert terminal.exchange(call("r2")).body == body
+        assert client.exchange(call("r2")).body == body
         assert pool.opened == (2 if form == "close" else 1)
 
 
@@ -98,15 +98,15 @@
     program = stage.start()
     for key in ("first", "second"):
         go.clear()
-        terminal = long_terminal(program)
-        terminal.sock.sendall(call(f"r-{key}", key=key, budget="2000m"))
+        client = long_client(program)
+        client.sock.sendall(call(f"r-{key}", key=key, budget="2000m"))
         seen = b""
         while b"abc" not in seen:
-            seen += terminal.sock.recv(4096)
+            seen += client.sock.recv(4096)
         time.sleep(2.5)  # past the client's patience: an answer that has begun has no deadline
-        terminal.reader.feed(seen)
+        client.reader.feed(seen)
         go.set()
-        assert terminal.read().body.endswith(b"d")
+        assert client.read().body.endswith(b"d")
 
 
 @pytest.mark.parametrize("how", ["length", "chunks", "close"])
@@ -121,10 +121,10 @@
 
     pool = stage.pool("s1", answer)
     program = stage.start()
-    terminal = long_terminal(program)
+    client = long_client(program)
     data = call("r1")
     with pytest.raises((http.Truncated, ConnectionResetError)):
-        terminal.exchange(data.replace(b"HTTP/1.1", b"HTTP/1.0") if how == "close" else data)
+        client.exchange(data.replace(b"HTTP/1.1", b"HTTP/1.0") if how == "close" else data)
     assert pool.ids() == ["r1"]  # what has begun is not asked again
 
 
@@ -141,9 +141,9 @@
     stage.pool("s1", answer)
     program = stage.start()
     before = rss_kb(program)
-    terminals = [Terminal(program.port) for _ in range(6)]
-    for i, terminal in enumerate(terminals):
-        terminal.sock.sendall(call(f"r{i}"))
+    clients = [Client(program.port) for _ in range(6)]
+    for i, client in enumerate(clients):
+        client.sock.sendall(call(f"r{i}"))
     last = -1
     while sent[0] != last:  # until nothing moves
         last = sent[0]
@@ -151,7 +151,7 @@
     assert 0 < sent[0] < 6 * 24 * MB  # the rest waits at the pool server
     got = 0
     while got < len(body):
-        data = terminals[0].sock.recv(MB)
+        data = clients[0].sock.recv(MB)
         assert data
         got += len(data)
     assert rss_kb(program, peak=True) - before < 8 * 1024  # 6 x 32 MB are on their way
@@ -169,15 +169,13 @@
     program = stage.start()
     body = block(MB)
     for i in range(6):
-        assert (
-            long_terminal(program).exchange(call(f"r{i}", "pay", key=f"k{i}", body=body)).head.status == 200
-        )
+        assert long_client(program).exchange(call(f"r{i}", "pay", key=f"k{i}", body=body)).head.status == 200
     stage.discovery.put("s1", dead.address, "terminated")
     stage.pools["s2"].handler = error
     before = len(stage.pools["s2"].heads)
-    assert long_terminal(program).exchange(call("e1", body=body)).head.status in (502, 503)
+    assert long_client(program).exchange(call("e1", body=body)).head.status in (502, 503)
     stage.pools["s2"].handler = reset
-    assert long_terminal(program).exchange(call("e2", "pay", body=body)).head.status == 502
+    assert long_client(program).exchange(call("e2", "pay", body=body)).head.status == 502
     assert len(stage.pools["s2"].heads) == before + 2
 
 
@@ -187,12 +185,12 @@
 
     pool = stage.pool("s1", trickle)
     program = stage.start()
-    terminal = Terminal(program.port)
-    terminal.sock.sendall(call("r1"))
-    assert terminal.sock.recv(10)
-    terminal.sock.close()
+    client = Client(program.port)
+    client.sock.sendall(call("r1"))
+    assert client.sock.recv(10)
+    client.sock.close()
     until(lambda: not pool.open)  # the pool server need not go on
-    half = Terminal(program.port)
+    half = Client(program.port)
     half.sock.sendall(call("r2", "pay", body=block(MB))[: MB // 2])
     until(lambda: pool.open)
     half.sock.close()
@@ -204,29 +202,29 @@
     stage.pool("s1")
     program = stage.start()
     head = call("r1", "pay").partition(b"Content-Length")[0]
-    terminal = Terminal(program.port)
-    terminal.sock.sendall(head + b"Content-Length: %d\r\n\r\n" % (http.LONGEST_BODY + 1))
-    assert terminal.read().head.status == 413
-    terminal = Terminal(program.port)
+    client = Client(program.port)
+    client.sock.sendall(head + b"Content-Length: %d\r\n\r\n" % (http.LONGEST_BODY + 1))
+    assert client.read().head.status == 413
+    client = Client(program.port)
     lie = b"Transfer-Encoding: chunked\r\n\r\n" + b"20000\r\n" + block(0x20000) + b"zz\r\n"
-    terminal.sock.sendall(head.replace(b"r1", b"r2") + lie)
-    assert terminal.read().head.status == 400
+    client.sock.sendall(head.replace(b"r1", b"r2") + lie)
+    assert client.read().head.status == 400
     assert program.ask("r3").head.status == 200
 
 
 def test_slow_heads_and_bodies_are_waited_for_and_silence_is_not() -> None:
     ours, theirs = socket.socketpair()
-    terminal, s = front._Terminal(ours, True), mi.NS_PER_S
-    terminal.begun = 0
-    terminal.head_at = terminal.heard = 2 * s
+    client, s = front._Client(ours, True), mi.NS_PER_S
+    client.begun = 0
+    client.head_at = client.heard = 2 * s
     for second in range(1, 60):  # 64 kB a second, after a head that took 2 s
-        terminal.reader.received = 64_000 * second
-        terminal.heard = (2 + second) * s
-        assert terminal.body_by() >= terminal.heard + s
-    assert terminal.body_by() <= terminal.heard + front.PAUSE_MOST_NS
-    terminal.head_at = terminal.heard = 0  # a head at once and half a body, then nothing
-    terminal.reader.received = 32_000
-    assert terminal.body_by() < 3 * s
+        client.reader.received = 64_000 * second
+        client.heard = (2 + second) * s
+        assert client.body_by() >= client.heard + s
+    assert client.body_by() <= client.heard + front.PAUSE_MOST_NS
+    client.head_at = client.heard = 0  # a head at once and half a body, then nothing
+    client.reader.received = 32_000
+    assert client.body_by() < 3 * s
     ours.close()
     theirs.close()
 
@@ -235,13 +233,13 @@
     stage.pool("s1", digest)
     program = stage.start()
     data = call("r1", "pay", body=block(64_000))
-    terminal = Terminal(program.port)
-    terminal.sock.sendall(data[:40])
+    client = Client(program.port)
+    client.sock.sendall(data[:40])
     time.sleep(1.5)
     for at in range(40, len(data), 8000):  # in all longer than a request without a body may take
-        terminal.sock.sendall(data[at : at + 8000])
+        client.sock.sendall(data[at : at + 8000])
         time.sleep(0.15)
-    assert terminal.read().head.status == 200
+    assert client.read().head.status == 200
 
 
 def test_the_module_judges_a_long_request_from_its_last_byte_and_sends_it_once() -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -15,11 +15,11 @@
 import pytest
 from stage import (
     ROOT,
+    Client,
     Discovery,
     Listener,
     Program,
     Stage,
-    Terminal,
     call,
     error,
     reject,
@@ -37,8 +37,8 @@
 def test_a_request_is_served_as_the_bytes_that_came(stage: Stage) -> None:
     pool = stage.pool("s1")
     program = stage.start()
-    terminal = Terminal(program.port)
-    answer = terminal.exchange(call("r1", "pay", body=b"tips"))
+    client = Client(program.port)
+    answer = client.exchange(call("r1", "pay", body=b"tips"))
     assert (answer.head.status, answer.body) == (200, b"did tips")
     head = pool.heads[0]
     assert (head.method, head.target) == (b"POST", b"/api/k1?q=1")
@@ -47,8 +47,8 @@
     assert 20_000 < int(head.fields[b"x-budget"].removesuffix(b"m")) <= 30_000
     assert head.fields[b"content-length"] == b"4"
     chunked = call("r2", "pay").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
-    assert terminal.exchange(chunked + b"3\r\nabc\r\n0\r\n\r\n").body == b"did abc"
-    assert terminal.exchange(call("r3")).head.status == 200
+    assert client.exchange(chunked + b"3\r\nabc\r\n0\r\n\r\n").body == b"did abc"
+    assert client.exchange(call("r3")).head.status == 200
     assert pool.opened == 1  # connections are kept, on both sides
 
 
@@ -62,7 +62,7 @@
     assert (pool.opened, pool.ids()) == (2, ["r1", "r2"])
 
 
-def test_turned_away_everywhere_becomes_a_short_on_capacity_reply_at_once(stage: Stage) -> None:
+def test_turned_away_everywhere_becomes_a_refusal_at_once(stage: Stage) -> None:
     pools = [stage.pool(f"s{i}", reject) for i in range(3)]
     answer = stage.start().ask("r1", "pay")
     assert answer.head.status == 503
@@ -113,13 +113,13 @@
     assert program.ask("r2", "pay").head.status == 200
 
 
-def test_a_client_that_hangs_up_calls_its_routed_task_off(stage: Stage) -> None:
+def test_a_client_that_hangs_up_calls_its_attempt_off(stage: Stage) -> None:
     pool = stage.pool("s1", silent)
     program = stage.start()
-    terminal = Terminal(program.port)
-    terminal.sock.sendall(call("r1"))
+    client = Client(program.port)
+    client.sock.sendall(call("r1"))
     until(lambda: pool.heads)
-    terminal.sock.close()
+    client.sock.close()
     until(lambda: not pool.open)
     pool.handler = serve
     assert program.ask("r2").head.status == 200
@@ -128,7 +128,7 @@
 def test_a_call_id_in_flight_is_answered_and_not_sent_twice(stage: Stage) -> None:
     pool = stage.pool("s1", silent)
     program = stage.start()
-    first = Terminal(program.port)
+    first = Client(program.port)
     first.sock.sendall(call("r1"))
     until(lambda: pool.heads)
     assert program.ask("r1").head.status == 409
@@ -197,7 +197,7 @@
 
     pool = stage.pool("s1", held)
     program = stage.start()
-    idle, waiting = Terminal(program.port), Terminal(program.port)
+    idle, waiting = Client(program.port), Client(program.port)
     assert idle.exchange(call("r1")).head.keeps_alive
     waiting.sock.sendall(call("slow"))
     until(lambda: "slow" in pool.ids())
@@ -208,7 +208,7 @@
     assert (answer.head.status, answer.head.keeps_alive) == (200, False)
     assert program.process.wait() == 0
     with pytest.raises(OSError):
-        Terminal(program.port)
+        Client(program.port)
 
 
 def test_sighup_follows_discovery_to_its_new_address_and_drops_nothing(stage: Stage) -> None:
@@ -216,7 +216,7 @@
     let = threading.Event()
     first = stage.pool("s1", lambda message, sock: let.wait() and serve(message, sock))
     program = stage.start()
-    waiting = Terminal(program.port)
+    waiting = Client(program.port)
     waiting.sock.sendall(call("r1"))
     until(lambda: first.heads)
     program.path.write_text("{")
@@ -261,9 +261,9 @@
     ],
 )
 def test_bad_input_is_answered_and_closed(shared: Program, raw: bytes, status: int) -> None:
-    terminal = Terminal(shared.port)
-    assert terminal.exchange(raw).head.status == status
-    assert terminal.ended()
+    client = Client(shared.port)
+    assert client.exchange(raw).head.status == status
+    assert client.ended()
 
 
 @pytest.fixture(scope="module")
@@ -291,7 +291,7 @@
     program = stage.start(limits={"sockets": 64})
     crowd = []
     for i in range(60):
-        crowd.append(Terminal(program.port))
+        crowd.append(Client(program.port))
         assert not asked or crowd[-1].exchange(call(f"r{i}")).head.status == 200
     assert program.ask("last").head.status == 200
     assert all(t.sock.fileno() >= 0 for t in crowd)
@@ -303,7 +303,7 @@
     # them had one left to ask on.
     stage.pool("s1")
     program = stage.start(limits={"sockets": 64})
-    crowd = [Terminal(program.port) for _ in range(20)]
+    crowd = [Client(program.port) for _ in range(20)]
     kept = [t.exchange(asked).head.keeps_alive for t in crowd]
     assert kept[0] and not kept[-1]
     assert crowd[-1].ended()
@@ -313,11 +313,11 @@
 def test_what_does_not_become_a_request_is_ended(shared: Program, sent: bytes, status: int | None) -> None:
     # Such a client is owed an error or a close within 3 s of connecting, however slowly it goes on.
     assert REQUEST_NS < 3 * 10**9
-    terminal = Terminal(shared.port)
-    terminal.sock.sendall(sent)
+    client = Client(shared.port)
+    client.sock.sendall(sent)
     if status is not None:
-        assert terminal.read().head.status == status
-    assert terminal.ended()
+        assert client.read().head.status == status
+    assert client.ended()
 
 
 @pytest.mark.parametrize("text", ["", "{", "[]", '{"listen": "x", "settings": {}}'])
@@ -355,7 +355,7 @@
     assert ends.count(b"") > 15
 
 
-def test_staff_can_follow_a_call_id_through_its_routed_tasks_at_debug(stage: Stage) -> None:
+def test_staff_can_follow_a_call_id_through_its_attempts_at_debug(stage: Stage) -> None:
     stage.pool("s1", reject)
     stage.pool("s2", reject)
     program = stage.start()
@@ -363,4 +363,4 @@
     lines = [line for line in program.log.read_text().splitlines() if " call traced-1 " in line]
     assert any("attempt 0 to s" in line for line in lines), lines
     assert any("attempt 1 at s" in line and ": REJECTED after" in line for line in lines), lines
-    assert any("view answered SHORT after " in line for line in lines), lines
+    assert any("view answered REFUSED after " in line for line in lines), lines
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 import pytest
-from stage import Program, Stage, Terminal, call, free_port, serve, until
+from stage import Client, Program, Stage, call, free_port, serve, until
 
 from iristrack.net.handover import file_name
 from iristrack.net.scheduler import Scheduler
@@ -36,11 +36,11 @@
 
     stage.pool("s1", held)
     old = stage.start(tmpdir=tmp_path, **admin())
-    kept = [Terminal(old.port) for _ in range(40)]
-    for i, terminal in enumerate(kept):
-        assert terminal.exchange(call(f"a{i}")).head.status == 200
-    fresh, slow = Terminal(old.port), Terminal(old.port)
-    half = Terminal(old.port)
+    kept = [Client(old.port) for _ in range(40)]
+    for i, client in enumerate(kept):
+        assert client.exchange(call(f"a{i}")).head.status == 200
+    fresh, slow = Client(old.port), Client(old.port)
+    half = Client(old.port)
     half.sock.sendall(call("half")[:30])
     slow.sock.sendall(call("slow"))
     until(lambda: len(stage.pools["s1"].heads) == 41)
@@ -48,8 +48,8 @@
     old.process.send_signal(signal.SIGTERM)
     until(lambda: "stopping" in old.log.read_text())
     # The very same connections are served on, also the one on which nothing was asked yet.
-    for i, terminal in enumerate([*kept, fresh]):
-        assert terminal.exchange(call(f"b{i}")).head.status == 200
+    for i, client in enumerate([*kept, fresh]):
+        assert client.exchange(call(f"b{i}")).head.status == 200
     half.sock.sendall(call("half")[30:])
     assert half.read().head.status == 200
     assert old.process.poll() is None  # it owes an answer still
@@ -75,20 +75,20 @@
     new = taken_over(stage, old, tmp_path)
     for program in (old, new):
         program.process.send_signal(signal.SIGSTOP)
-    waiting = [Terminal(old.port) for _ in range(50)]
-    for i, terminal in enumerate(waiting):
-        terminal.sock.sendall(call(f"r{i}"))
+    waiting = [Client(old.port) for _ in range(50)]
+    for i, client in enumerate(waiting):
+        client.sock.sendall(call(f"r{i}"))
     old.process.send_signal(signal.SIGTERM)
     for program in (old, new):
         program.process.send_signal(signal.SIGCONT)
-    assert [terminal.read().head.status for terminal in waiting] == [200] * 50
+    assert [client.read().head.status for client in waiting] == [200] * 50
     assert old.process.wait(60) == 0
 
 
 def test_a_successor_that_dies_leaves_everything_to_the_old_process(stage: Stage, tmp_path: Path) -> None:
     stage.pool("s1")
     old = stage.start(tmpdir=tmp_path, **admin())
-    kept = Terminal(old.port)
+    kept = Client(old.port)
     assert kept.exchange(call("r1")).head.status == 200
     new = taken_over(stage, old, tmp_path)
     new.process.kill()
@@ -118,7 +118,7 @@
     old = stage.start(tmpdir=tmp_path, port=port, **admin())
     assert old.ask("r1").head.status == 200
     if left == "folder":  # they cannot meet there: both listen at the address, and the old one ends plainly
-        kept = Terminal(old.port)
+        kept = Client(old.port)
         assert kept.exchange(call("r2")).head.status == 200
         new = taken_over(stage, old, tmp_path)
         old.process.send_signal(signal.SIGTERM)
@@ -148,7 +148,7 @@
     stage.programs.append(other)
     new = taken_over(stage, one, tmp_path)  # who came later in the folder is in nobody's way
     assert "shared" in new.log.read_text() and "shared" not in other.log.read_text()
-    kept = Terminal(one.port)
+    kept = Client(one.port)
     assert kept.exchange(call("r1")).head.status == 200
     one.process.send_signal(signal.SIGTERM)
     assert kept.exchange(call("r2")).head.status == 200
--- a/tests/test_zone_processes.py
+++ b/tests/test_zone_processes.py
@@ -10,7 +10,7 @@
 import time
 from collections import Counter
 
-from stage import Program, Stage, Terminal, call, until
+from stage import Client, Program, Stage, call, until
 
 from iristrack.net import http
 
@@ -36,14 +36,14 @@
     return sum(count for name, count in program.figures().items() if name.startswith("succeeded"))
 
 
-def send(program: Program, name: str, number: int) -> list[Terminal]:
+def send(program: Program, name: str, number: int) -> list[Client]:
     """So many requests, each on a connection of its own, none waited for."""
-    terminals = []
+    clients = []
     for i in range(number):
-        terminals.append(Terminal(program.port))
-        terminals[-1].sock.sendall(call(f"{name}-{i}", key=f"{name}{i}"))
+        clients.append(Client(program.port))
+        clients[-1].sock.sendall(call(f"{name}-{i}", key=f"{name}{i}"))
         time.sleep(0.02)
-    return terminals
+    return clients
 
 
 def test_a_zone_cut_off_from_one_sidecar_is_held_by_that_one_and_taken_back_after_the_heal(
@@ -55,8 +55,8 @@
     names = "abc"
     programs = [stage.begin(name, MANY) for name in names]
     for name, program in zip(names, programs, strict=True):
-        for terminal in send(program, name, 150):
-            assert terminal.read().head.status == 200
+        for client in send(program, name, 150):
+            assert client.read().head.status == 200
     far.cut_off.add("a")
     before, met = served(programs[0]), far.came["a"]
     kept = send(programs[0], "a-cut", 80)
@@ -65,8 +65,8 @@
     )  # six servers one by one would keep three each, and the room
     assert far.came["a"] - met <= 14
     for name, program in zip(names[1:], programs[1:], strict=True):
-        for terminal in send(program, name + "-2", 40):
-            assert terminal.read().head.status == 200
+        for client in send(program, name + "-2", 40):
+            assert client.read().head.status == 200
     programs[2].process.kill()
     assert "silence of zone b" in programs[0].log.read_text()
     assert not any("silence of zone" in program.log.read_text() for program in programs[1:])
@@ -74,6 +74,6 @@
     kept += send(programs[0], "a-healed", 100)
     until(lambda: "returned" in programs[0].log.read_text().rpartition("silence of zone")[2])
     met = far.came["a"]
-    for terminal in send(programs[0], "a-last", 60):
-        assert terminal.read().head.status == 200
+    for client in send(programs[0], "a-last", 60):
+        assert client.read().head.status == 200
     assert far.came["a"] - met >= 10
