--- a/examples/demo.py
+++ b/examples/demo.py
@@ -23,7 +23,7 @@
 sys.path.insert(0, str(HERE))
 import toy  # noqa: E402
 
-TERMINALS = 8
+CLIENTS = 8
 START_S = 20.0  # the sidecar must be ready by then
 
 
@@ -95,9 +95,9 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--requests", type=int, default=240, help="how many, 8 to 10000 (default 240)")
     total = parser.parse_args().requests
-    if not TERMINALS <= total <= 10_000:
+    if not CLIENTS <= total <= 10_000:
         parser.error("--requests must lie between 8 and 10000")
-    each = total // TERMINALS
+    each = total // CLIENTS
     with tempfile.TemporaryDirectory() as folder:
         table, ports, discovery = start_platform()
         process, port = start_sidecar(discovery, folder)
@@ -110,7 +110,7 @@
                     time.sleep(0.5)
                 before = len(results)
                 threads = [
-                    threading.Thread(target=ask, args=(port, t, numbers, results)) for t in range(TERMINALS)
+                    threading.Thread(target=ask, args=(port, t, numbers, results)) for t in range(CLIENTS)
                 ]
                 for thread in threads:
                     thread.start()
