Count a quiet time for cold budgets by the sidecar's looks at any cold server

Of 200 sidecars each looks at a given server seldom, so that limits/cold.py cut what no quiet time earned. Change: ColdPace.attention counts the time in which any cold server was looked at, gaps for a window at most; the tests of all sending in one moment stay as they are and hold.

--- a/iristrack/limits/cold.py
+++ b/iristrack/limits/cold.py
@@ -6,9 +6,9 @@
 
 The bound needs nobody to hear anything of the others. Each sidecar sends at the floor (its own part of what the
 contract grants at this age) times its pace, plus `EARNED` times the rate of good answers that the server gave it
-since its start; for time in which it does not look at the server it earns no more than in one window. The answers to
-all sidecars together are no more than the server can do now, as a cold server only gets faster. So all together send
-at most the floor times the pace, plus `EARNED` times what the server can do, plus a burst of one token each; and the
+since its start; a time in which it looks at no cold server at all earns no more than one window. The answers to all
+sidecars together are no more than the server can do now, as a cold server only gets faster. So all together send at
+most the floor times the pace, plus `EARNED` times what the server can do, plus a burst of one token each; and the
 pace stays where that is within the contract.
 """
 
@@ -42,15 +42,26 @@
     those of all its cold servers tell how much such servers bear at this time.
     """
 
-    __slots__ = ("least", "most", "value")
+    __slots__ = ("least", "looked", "looked_at", "most", "value")
 
     def __init__(self, many: bool, contract: Contract) -> None:
         """`many`: is this one of many sidecars? One of few goes by each server's own answers, at the floor."""
         factor = contract.overload_factor
         self.value = 1.0
+        self.looked = self.looked_at = 0
         self.least = LEAST_PACE if many else 1.0
         self.most = max(1.0, FACTOR * (1 - EARNED / factor)) if many else 1.0
 
+    def attention(self, now: int, window_ns: int) -> int:
+        """For how long (ns) this sidecar has looked at cold servers, any of them; a quiet time is one window at most.
+
+        Guards against a quiet time of the whole fleet: else each would hold a whole token after it, at each cold
+        server, and all would spend it in one moment.
+        """
+        self.looked += min(max(0, now - self.looked_at), window_ns)
+        self.looked_at = now
+        return self.looked
+
     def follow(self, fine: bool) -> None:
         """A cold server answered well in time, or did not."""
         self.value = (
@@ -67,7 +78,7 @@
         """A part of a `token`, at random: a whole one would let a thousand sidecars at a cold server at once."""
         self.tokens = tokens
         self.fine = True  # was its own last word a good one?
-        self.at = 0  # when they were last counted; 0: never
+        self.at = -1  # when they were last counted, by the pace's attention; -1: never
         self.answers = 0.0  # good answers of this start, fading
         self.answers_at = 0
 
@@ -97,11 +108,10 @@
             warm_rate * share * contract.overload_factor / FACTOR * (pace.value if self.fine else pace.least)
         )
         rate = floor + EARNED * self._recent(now) * NS_PER_S / MEMORY_NS
-        # What nobody looks at earns no more than one window's worth: else all would hold a whole token after a quiet
-        # time, and spend it in one moment.
-        elapsed = min(max(0, now - self.at), contract.fall_ns) / NS_PER_S if self.at else 0.0
+        looked = pace.attention(now, contract.fall_ns)
+        elapsed = (looked - self.at) / NS_PER_S if self.at >= 0 else 0.0
         self.tokens = min(max(1.0, rate / 2), self.tokens + elapsed * rate)
-        self.at = now
+        self.at = looked
         return self.tokens >= 1.0
 
     def spend(self) -> None:
