--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -7,12 +7,13 @@
 
 import json
 import select
+import signal
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from dataclasses import replace
 
 import pytest
-from stage import SETTINGS, Stage, turn_until, until
+from stage import SETTINGS, Client, Stage, call, turn_until, until
 from stage import Discovery as Agent
 
 from iristrack import interface as mi
@@ -180,3 +181,17 @@
     until(lambda: program._says({200}))
     assert len(stage.discovery.heads) <= asked + 3  # one on its way then, one more, and the watch
     assert json.loads(program.path.read_text())["known"] == {}
+
+
+@pytest.mark.parametrize("knows", [False, True])
+def test_an_end_before_the_first_list_is_an_orderly_one(stage: Stage, knows: bool) -> None:
+    pool = stage.pool("s1")
+    stage.discovery.quiet = True
+    program = stage.start(ready=knows, **({} if knows else {"known": {}}))
+    waiting = Client(program.port)
+    waiting.sock.sendall(call("early", budget="3000m"))
+    until(lambda: stage.discovery.heads)
+    program.process.send_signal(signal.SIGTERM)
+    status = waiting.read().head.status  # taken is taken: served from what is known, refused where nothing is
+    assert status == (200 if knows else 503)
+    assert len(pool.heads) == knows and program.process.wait(60) == 0
