--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -301,13 +301,17 @@
 
 
 def test_bytes_behind_a_request_whose_answer_ends_the_connection_do_not_reset_it_away(inside: Inside) -> None:
-    inside.pool()
+    sock: list[socket.socket] = []
+
+    def more_comes_first(message: http.Message, served: socket.socket) -> bytes:
+        sock[0].sendall(call("r2"))  # while the answer is on its way: nobody reads that here
+        return serve(message, served)
+
+    inside.pool("s1", more_comes_first)
     inside.start()
-    asked = call("r1").replace(b"X-Odd", b"Connection: close\r\nX-Odd")
-    sock = inside.client(asked + call("r2") * 400)
-    answer = inside.hear(sock)
-    assert answer.head.status == 200
-    assert inside.hear(sock) is None  # an orderly end
+    sock.append(inside.client(call("r1").replace(b"X-Odd", b"Connection: close\r\nX-Odd")))
+    assert inside.hear(sock[0]).head.status == 200
+    assert inside.hear(sock[0]) is None  # an orderly end; a reset raises
     assert inside.core.counts.taken == 1
 
 
@@ -350,6 +354,9 @@
     answer = inside.hear(again)
     assert answer.head.status == 200 and answer.head.keeps_alive is (reason != "stopping")
     assert "crossing" not in pool.ids()
+    assert client in inside.front.clients  # it reads on to the client's end
+    inside.until(lambda: not select.select([client.sock], [], [], 0)[0])  # it was read, and dropped
+    assert inside.hear(sock) is None  # and no reset
     sock.setblocking(True)
     sock.close()
     inside.until(lambda: client not in inside.front.clients)
