--- a/benchmarks/passthrough.py
+++ b/benchmarks/passthrough.py
@@ -18,8 +18,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from iristrack.config import read_address
-from iristrack.net import http
-from iristrack.net.scheduler import READ, WRITE, Scheduler, clock, listening, send_all
+from iristrack.http1 import messages as http
+from iristrack.runtime.scheduler import READ, WRITE, Scheduler, clock, listening, send_all
 
 STALL_NS = 10 * 10**9  # any wait longer than this ends the connection
 RECEIVE = 65536
--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -10,12 +10,9 @@
 import gc
 import os
 import resource
-import select
 import signal
 import socket
 import sys
-from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import replace
 from importlib import metadata
 
@@ -26,45 +23,14 @@
 from iristrack.config import Config, ConfigError, load
 from iristrack.net.door import Door
 from iristrack.net.front import HttpFront
-from iristrack.net.scheduler import Scheduler, clock
 from iristrack.net.sidecar import Sidecar
+from iristrack.runtime.log_sink import nonblocking_sink
+from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.runtime.signals import catch_signals
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
-def log_to(descriptor: int) -> Callable[[str], None]:
-    """A sink for log lines that never waits: what its reader leaves no room for is dropped."""
-    poll = select.poll()
-    poll.register(descriptor, select.POLLOUT)
-
-    def write(line: str) -> None:
-        # Guards the loop: a full pipe that nobody reads would stop it at its next line. A pipe that is ready
-        # takes PIPE_BUF bytes without waiting.
-        data = line.encode("utf-8", "replace")
-        with suppress(OSError):
-            for at in range(0, len(data), select.PIPE_BUF):
-                if not poll.poll(0):
-                    return
-                os.write(descriptor, data[at : at + select.PIPE_BUF])
-
-    return write
-
-
-def _catch_signals() -> socket.socket:
-    """Have the signals that the program lives through come as bytes, each its own number, on a socket.
-
-    Python runs signal handlers between bytecodes, and `poll` goes on after them: the socket ends its wait.
-    What comes before the loop runs waits there; a SIGHUP must never end the process.
-    """
-    woken, waker = socket.socketpair()
-    woken.setblocking(False)
-    waker.setblocking(False)
-    signal.set_wakeup_fd(waker.detach(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda *_: None)
-    return woken
-
-
 def _reload(sidecar: Sidecar) -> None:
     """Read the configuration anew and follow discovery to where it now is; a bad file changes nothing."""
     try:
@@ -85,7 +51,7 @@
         allowed = config.sockets if hard == resource.RLIM_INFINITY else min(config.sockets, hard)
         resource.setrlimit(resource.RLIMIT_NOFILE, (allowed, hard))
         config = replace(config, sockets=allowed)
-    scheduler = Scheduler()
+    scheduler = Scheduler(logger.exception)
     keeper = learned = None
     if config.state:
         try:
@@ -148,7 +114,7 @@
     if chosen.command == "version":
         print(f"iristrack {__version__} (greenlet {metadata.version('greenlet')})")
         return 0
-    woken = _catch_signals() if chosen.command == "serve" else None
+    woken = catch_signals() if chosen.command == "serve" else None
     try:
         config = load(os.environ)
     except ConfigError as fault:
@@ -165,7 +131,9 @@
         return 0
     logger.remove()
     logger.add(
-        log_to(sys.stderr.fileno()), level=chosen.log_level, format="{time:HH:mm:ss.SSS} {level} {message}"
+        nonblocking_sink(sys.stderr.fileno()),
+        level=chosen.log_level,
+        format="{time:HH:mm:ss.SSS} {level} {message}",
     )
     return _serve(config, woken, chosen.log_level == "DEBUG")
 
--- /dev/null
+++ b/iristrack/admission/__init__.py
@@ -0,0 +1,1 @@
+"""What may be sent, repeated or refused: budgets and room. No I/O."""
--- a/iristrack/balance.py
+++ b/iristrack/balance.py
@@ -15,16 +15,14 @@
 from iristrack import interface as mi
 from iristrack.limits.cold import ColdPace
 from iristrack.limits.room import LEAST_LIMIT, Room
+from iristrack.placement.ranking import hash64, mix64, rank_value
 from iristrack.records import (
     BROKE,
     DID_NOT_RUN,
     FIRST_BACKOFF_NS,
-    MASK,
     MAYBE_RAN,
     OUT,
-    hash64,
     learned_of,
-    mix64,
     recall,
 )
 from iristrack.records import Attempt as _Attempt
@@ -254,9 +252,7 @@
             if len(self.rankings) >= CACHED_RANKINGS:
                 self.rankings.clear()
             seed = mix64(hash64(key) + part)
-            ranking = sorted(
-                self.ready, key=lambda s: -math.log((mix64(seed ^ s.hash) + 1) / (MASK + 2)) / s.weight
-            )
+            ranking = sorted(self.ready, key=lambda s: rank_value(seed, s.hash, s.weight))
             self.rankings[key, part] = ranking
         return ranking
 
--- /dev/null
+++ b/iristrack/cli/controlplane.py
@@ -0,0 +1,48 @@
+"""The control plane's program: `python3 -m iristrack.cli.controlplane`."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from iristrack.cli.settings_file import (
+    EXIT_BAD_SETTINGS,
+    EXIT_NO_ADDRESS,
+    configure_log,
+    reload_settings,
+    settings_or_exit,
+)
+from iristrack.controlplane.program import ControlPlane
+from iristrack.runtime.signals import catch_signals
+from iristrack.store.cells import CellsError
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Serve until SIGTERM; the exit status."""
+    parser = argparse.ArgumentParser(
+        prog="iristrack.cli.controlplane",
+        description="Keep the configuration and hand it on, by the settings file that IRISTRACK_CONFIG names.",
+    )
+    parser.parse_args(arguments)
+    signals = catch_signals()
+    settings = settings_or_exit()
+    log = configure_log(settings)
+    if settings.data_dir is None:
+        print("iristrack: data_dir: the control plane needs a disk", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    try:
+        program = ControlPlane(settings, log, lambda: reload_settings(log))
+        program.start()
+    except CellsError as fault:
+        print(f"iristrack: {settings.data_dir}: {fault}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    except OSError as fault:
+        print(f"iristrack: cannot start: {fault}", file=sys.stderr)
+        return EXIT_NO_ADDRESS
+    log.info("control plane started", zone=settings.zone, voting=program.register.voting)
+    program.run(signals)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/iristrack/cli/settings_file.py
@@ -0,0 +1,62 @@
+"""The settings file of a system process, its log and its exit codes."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import structlog
+
+from iristrack.runtime.log_sink import nonblocking_sink
+from iristrack.settings import SETTINGS_VARIABLE, Settings, load_settings
+
+EXIT_BAD_SETTINGS = 2
+EXIT_NO_ADDRESS = 2
+
+
+class _Sink:
+    """What structlog prints to: standard error, never waited for."""
+
+    def __init__(self) -> None:
+        self._write = nonblocking_sink(sys.stderr.fileno())
+
+    def msg(self, line: str) -> None:
+        """Write one line."""
+        self._write(line + "\n")
+
+    debug = info = warning = error = critical = log = msg
+
+
+def configure_log(settings: Settings):
+    """One line of key=value pairs for each event, with the node that says it."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(key_order=["level", "event"], bool_as_flag=False),
+        ],
+        logger_factory=lambda *args: _Sink(),
+        cache_logger_on_first_use=True,
+    )
+    return structlog.get_logger().bind(node=settings.node_name)
+
+
+def settings_or_exit() -> Settings:
+    """The settings that the environment names; one line for all findings and exit code 2 where they cannot be used."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    result = load_settings(path)
+    if result.is_error():
+        told = "; ".join(f"{finding.place}: {finding.problem}" for finding in result.error)
+        print(f"iristrack: {told}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS)
+    return result.ok
+
+
+def reload_settings(log) -> Settings | None:
+    """The settings as they are now; None, and a line in the log, where they cannot be used."""
+    result = load_settings(os.environ.get(SETTINGS_VARIABLE, ""))
+    if result.is_error():
+        for finding in result.error:
+            log.error("settings stay as they were", place=finding.place, problem=finding.problem)
+        return None
+    return result.ok
--- /dev/null
+++ b/iristrack/configuration/document.py
@@ -0,0 +1,199 @@
+"""Reading and checking of the operator's configuration document."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from math import isinf
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from iristrack.configuration.building import build_configuration, parse_configuration
+from iristrack.configuration.findings import WHOLE_DOCUMENT, Finding, schema_findings
+from iristrack.configuration.model import Configuration
+from iristrack.configuration.routes import normalise_host
+from iristrack.configuration.rows import Row, route_findings, tenant_findings
+
+__all__ = ["Finding", "check_successor", "parse_configuration", "read_configuration"]
+
+MAX_NUMBER_DIGITS = 40
+FIRST_BASE_REVISION = 0
+
+_COUNT = {"type": "number", "min": 0}
+_ENGINE = {
+    "capacity": _COUNT,
+    "kv_token_room": _COUNT,
+    "token_bytes": _COUNT,
+    "link_mbps": _COUNT,
+    "max_inflight": _COUNT,
+    "stride": _COUNT,
+    "model_list": {
+        "type": "list",
+        "schema": {"type": "dict", "schema": {"label": {"type": "string", "required": True}}},
+    },
+}
+_SERVICE = {
+    "label": {"type": "string", "required": True},
+    "health_path": {"type": "string"},
+    "max_conns": {**_COUNT, "nullable": True},
+    "engine": {"type": "dict", "nullable": True, "schema": _ENGINE},
+    "kv_store_addr": {"type": "string", "nullable": True},
+    "zone": {"type": "string"},
+    "kv_token_room": _COUNT,
+    "link_mbps": _COUNT,
+    "max_inflight": _COUNT,
+}
+_LIMITS = {
+    "max_header_bytes": _COUNT,
+    "max_body_bytes": _COUNT,
+    "header_timeout_ms": _COUNT,
+    "idle_timeout_ms": _COUNT,
+}
+_OUTLINE = {
+    "revision": {"type": "whole", "required": True},
+    "route_table": {"type": "list", "required": True},
+    "services": {"type": "list", "required": True, "schema": {"type": "dict", "schema": _SERVICE}},
+    "limits": {"type": "dict", "schema": _LIMITS},
+    "tenants": {"type": "list"},
+}
+
+RowCheck = Callable[[object, str], tuple[Finding, ...]]
+PlacedRow = tuple[str, Row]
+
+
+def read_configuration(body: bytes) -> Result[Configuration, tuple[Finding, ...]]:
+    """Read a configuration and check it in full, apart from its place in the order of revisions.
+
+    Unknown fields are permitted and ignored.
+    """
+    decoded = _decode(body)
+    if decoded.is_error():
+        return Error((decoded.error,))
+    document = decoded.ok
+    findings = _document_findings(document)
+    if findings:
+        return Error(findings)
+    return Ok(build_configuration(document, body))
+
+
+def check_successor(current: Configuration | None, proposed: Configuration) -> tuple[Finding, ...]:
+    """Check that the proposed configuration may follow the current one, or be the first."""
+    current_revision = FIRST_BASE_REVISION if current is None else current.revision
+    if proposed.revision > current_revision:
+        return ()
+    problem = f"is {proposed.revision}, not higher than the current {current_revision}"
+    return (Finding("revision", problem, f"give a revision above {current_revision}"),)
+
+
+def _decode(body: bytes) -> Result[dict[str, Any], Finding]:
+    try:
+        document = json.loads(
+            body,
+            parse_int=_decode_whole,
+            parse_float=_decode_fraction,
+            parse_constant=_refuse_constant,
+        )
+    except (ValueError, RecursionError) as error:
+        return Error(Finding(WHOLE_DOCUMENT, f"cannot be read: {error}", "send one whole JSON object"))
+    if not isinstance(document, dict):
+        return Error(Finding(WHOLE_DOCUMENT, "is not an object", "send one whole JSON object"))
+    return Ok(document)
+
+
+def _decode_whole(text: str) -> int:
+    if len(text) > MAX_NUMBER_DIGITS:
+        raise ValueError(f"a number has more than {MAX_NUMBER_DIGITS} digits")
+    return int(text)
+
+
+def _decode_fraction(text: str) -> float:
+    number = float(text)
+    if isinf(number):
+        raise ValueError(f"the number {text} is out of range")
+    return number
+
+
+def _refuse_constant(text: str) -> float:
+    raise ValueError(f"{text} is not JSON")
+
+
+def _document_findings(document: dict[str, Any]) -> tuple[Finding, ...]:
+    outline_faults = schema_findings(_OUTLINE, document)
+    routes, route_faults = _check_rows(document, "route_table", route_findings)
+    tenants, tenant_faults = _check_rows(document, "tenants", tenant_findings)
+    labels = None if _blame_services(outline_faults) else _service_labels(document)
+    return (
+        *outline_faults,
+        *route_faults,
+        *_repeated_route_findings(routes),
+        *_unknown_service_findings(routes, labels),
+        *tenant_faults,
+        *_shared_key_findings(tenants),
+    )
+
+
+def _check_rows(
+    document: dict[str, Any], name: str, check: RowCheck
+) -> tuple[list[PlacedRow], list[Finding]]:
+    """Return the sound rows of a list with their places, and the findings on the others."""
+    sound: list[PlacedRow] = []
+    findings: list[Finding] = []
+    rows = document.get(name)
+    if not isinstance(rows, list):
+        return sound, findings
+    for position, row in enumerate(rows):
+        place = f"{name}[{position}]"
+        faults = check(row, place)
+        if faults:
+            findings.extend(faults)
+        else:
+            sound.append((place, row))
+    return sound, findings
+
+
+def _repeated_route_findings(routes: list[PlacedRow]) -> Iterator[Finding]:
+    first_places: dict[tuple[str, str], str] = {}
+    for place, row in routes:
+        key = (normalise_host(row["hostname"]), row["path_prefix"])
+        first_place = first_places.setdefault(key, place)
+        if first_place != place:
+            problem = f"repeats the host and prefix of {first_place}"
+            yield Finding(f"{place}.path_prefix", problem, "change one route or remove it")
+
+
+def _blame_services(findings: tuple[Finding, ...]) -> bool:
+    """Return whether the list of services is at fault, so that the known labels are uncertain."""
+    return any(finding.place.startswith("services") for finding in findings)
+
+
+def _service_labels(document: dict[str, Any]) -> frozenset[str]:
+    return frozenset(service["label"] for service in document["services"])
+
+
+def _unknown_service_findings(routes: list[PlacedRow], known: frozenset[str] | None) -> Iterator[Finding]:
+    if known is None:
+        return
+    for place, row in routes:
+        for target_place, target in _named_services(place, row):
+            if target not in known:
+                problem = f"names the unknown service {target!r}"
+                yield Finding(target_place, problem, "name a service of the list services")
+
+
+def _named_services(place: str, row: Row) -> Iterator[tuple[str, str]]:
+    target = row.get("target")
+    if target is not None:
+        yield f"{place}.target", target
+    for position, item in enumerate(row.get("weighted_targets") or ()):
+        yield f"{place}.weighted_targets[{position}].target", item["target"]
+
+
+def _shared_key_findings(tenants: list[PlacedRow]) -> Iterator[Finding]:
+    holders: dict[str, str] = {}
+    for place, row in tenants:
+        for position, key in enumerate(row["api_keys"]):
+            holder = holders.setdefault(key, place)
+            if holder != place:
+                problem = f"is also a key of {holder}"
+                yield Finding(f"{place}.api_keys[{position}]", problem, "give each key to one tenant")
--- /dev/null
+++ b/iristrack/controlplane/operator_api.py
@@ -0,0 +1,167 @@
+"""The operator's calls: each is decoded into a command object, which is run at the registers."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from iristrack.configuration.document import Finding, read_configuration
+from iristrack.configuration.model import Configuration
+from iristrack.controlplane import changes
+from iristrack.controlplane.register_host import RegisterHost
+from iristrack.http1 import messages as http
+from iristrack.http1.serving import Response
+from iristrack.register import Committed, Overtaken, ProposerResult, Rejected
+from iristrack.relay import topics
+from iristrack.runtime.scheduler import clock
+from iristrack.wire.messages import ConfigurationValue, Update, VersionsValue
+from iristrack.wire.values import decode_value
+
+NS_PER_MS = 1_000_000
+CALL_NS = 900 * NS_PER_MS  # callers move on after a second of silence
+MOST_BODY = 8 << 20
+RETRY_AFTER = b"Content-Type: application/json\r\nRetry-After: 0.3\r\n"
+BASE_HEADER = b"x-iristrack-base-version"
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceConfiguration:
+    """`POST /config/replace`."""
+
+    configuration: Configuration
+    body: bytes
+    base: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadConfiguration:
+    """`GET /config/read`."""
+
+
+@dataclass(frozen=True, slots=True)
+class NameVersion:
+    """`POST /version-put`."""
+
+    model: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class BadCall:
+    """A call that is answered without a command."""
+
+    status: int
+    findings: tuple[Finding, ...]
+
+
+Command = ReplaceConfiguration | ReadConfiguration | NameVersion | BadCall
+Publish = Callable[[Update], None]
+
+
+def decode_call(message: http.Message) -> Command:
+    """The command that a call asks for."""
+    path = message.head.target.partition(b"?")[0]
+    method = message.head.method
+    if (method, path) == (b"POST", b"/config/replace"):
+        return _decode_replace(message)
+    if (method, path) == (b"GET", b"/config/read"):
+        return ReadConfiguration()
+    if (method, path) == (b"POST", b"/version-put"):
+        return _decode_version(message.body)
+    return BadCall(404, (Finding("call", "no such call", "see the operators' page"),))
+
+
+def _decode_replace(message: http.Message) -> Command:
+    told = message.head.fields.get(BASE_HEADER, b"")
+    if not told.isdigit() or len(told) > 18:
+        return BadCall(
+            400, (Finding("X-Iristrack-Base-Version", "no number", "send the version that it builds on"),)
+        )
+    result = read_configuration(message.body)
+    if result.is_error():
+        return BadCall(400, result.error)
+    return ReplaceConfiguration(result.ok, message.body, int(told))
+
+
+def _decode_version(body: bytes) -> Command:
+    try:
+        document = json.loads(body)
+        model, revision = document["model_name"], document["revision"]
+    except (ValueError, KeyError, TypeError):
+        return BadCall(400, (Finding("body", "no JSON with model_name and revision", "send both"),))
+    if not isinstance(model, str) or not model or len(model) > 200:
+        return BadCall(400, (Finding("model_name", "no name", "name the model"),))
+    if type(revision) is not int or not 0 < revision < 1 << 62:
+        return BadCall(400, (Finding("revision", "no number above 0", "send a whole number"),))
+    return NameVersion(model, revision)
+
+
+class OperatorApi:
+    """Answers the operator's calls."""
+
+    def __init__(self, register: RegisterHost, publish: Publish, log) -> None:
+        """`publish` tells everyone of a committed value."""
+        self.register = register
+        self.publish = publish
+        self.log = log
+
+    def answer(self, message: http.Message) -> Response:
+        """Answer one call; runs in the task of its connection."""
+        command = decode_call(message)
+        if isinstance(command, BadCall):
+            return _findings(command)
+        if isinstance(command, ReplaceConfiguration):
+            return self._replace(command)
+        if isinstance(command, NameVersion):
+            return self._name_version(command)
+        return self._read()
+
+    def _replace(self, command: ReplaceConfiguration) -> Response:
+        change = changes.replace_configuration(command.configuration, command.body, command.base)
+        result = self.register.change(topics.CONFIGURATION, change, clock() + CALL_NS)
+        self._publish_configuration(result)
+        self.log.info(
+            "configuration call",
+            revision=command.configuration.revision,
+            base=command.base,
+            result=type(result).__name__,
+        )
+        if isinstance(result, Committed):
+            return Response(200, b'{"revision":%d}' % command.configuration.revision)
+        if isinstance(result, Rejected | Overtaken):
+            status = 412 if result.reason == changes.BASE_DIFFERS else 400
+            return Response(status, json.dumps({"message": result.reason}).encode())
+        return Response(503, b'{"message":"no majority of the core answered"}', RETRY_AFTER)
+
+    def _read(self) -> Response:
+        result = self.register.change(topics.CONFIGURATION, changes.unchanged, clock() + CALL_NS)
+        if not isinstance(result, Committed):
+            return Response(503, b'{"message":"no majority of the core answered"}', RETRY_AFTER)
+        value = decode_value(result.value, ConfigurationValue)
+        if value is None:
+            return Response(404, b'{"message":"no configuration yet"}')
+        self._publish_configuration(result)
+        return Response(200, value.body)
+
+    def _name_version(self, command: NameVersion) -> Response:
+        change = changes.name_version(command.model, command.revision)
+        result = self.register.change(topics.VERSIONS, change, clock() + CALL_NS)
+        if not isinstance(result, Committed):
+            return Response(503, b'{"message":"no majority of the core answered"}', RETRY_AFTER)
+        value = decode_value(result.value, VersionsValue)
+        if value is not None:
+            self.publish(Update(topics.VERSIONS, value.sequence, result.value))
+        self.log.info("version call", model=command.model, revision=command.revision)
+        return Response(200, b"{}")
+
+    def _publish_configuration(self, result: ProposerResult) -> None:
+        if isinstance(result, Committed | Rejected | Overtaken):
+            value = decode_value(result.value, ConfigurationValue)
+            if value is not None:
+                self.publish(Update(topics.CONFIGURATION, value.sequence, result.value))
+
+
+def _findings(call: BadCall) -> Response:
+    rows = [{"place": f.place, "message": f.problem, "remedy": f.remedy} for f in call.findings]
+    return Response(call.status, json.dumps({"findings": rows}).encode())
--- /dev/null
+++ b/iristrack/controlplane/program.py
@@ -0,0 +1,238 @@
+"""The control plane as a process: disk, peers, the operator's API, signals."""
+
+from __future__ import annotations
+
+import gc
+import secrets
+import signal
+import socket
+from collections.abc import Callable
+
+from iristrack.controlplane import changes
+from iristrack.controlplane.distribution import Distribution
+from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
+from iristrack.controlplane.register_host import RegisterHost
+from iristrack.controlplane.weights import WeightsDuty
+from iristrack.http1.serving import HttpServer
+from iristrack.register import Committed
+from iristrack.relay import topics
+from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.settings import Settings
+from iristrack.store.cells import open_cells
+from iristrack.store.sync_thread import SyncThread
+from iristrack.wire.connection import PeerConnection, PeerListener
+from iristrack.wire.dialing import DialerSet
+from iristrack.wire.messages import (
+    Accept,
+    Accepted,
+    ConfigurationValue,
+    DutyValue,
+    Heartbeat,
+    Hello,
+    MembersValue,
+    Message,
+    Prepare,
+    Promise,
+    Subscribe,
+    Update,
+    VersionsValue,
+)
+from iristrack.wire.values import decode_value, encode_value
+
+NS_PER_MS = 1_000_000
+NS_PER_S = 1_000 * NS_PER_MS
+LEARN_TICK_NS = 250 * NS_PER_MS
+LEARN_NS = 800 * NS_PER_MS
+STOP_NS = 300 * NS_PER_MS  # between SIGTERM and the end, for what is under way
+DISK_STOP_S = 1.0
+FIRST_MEMBERS = 1  # sequence of the member set that the seeds form
+VALUE_TYPES = {
+    topics.CONFIGURATION: ConfigurationValue,
+    topics.VERSIONS: VersionsValue,
+    topics.WEIGHTS_DUTY: DutyValue,
+    topics.MEMBERS: MembersValue,
+}
+
+
+class ControlPlane:
+    """All parts of one control plane process."""
+
+    def __init__(self, settings: Settings, log, reload_settings: Callable[[], Settings | None]) -> None:
+        """Opens the disk; raises `store.cells.CellsError` or `OSError` where it cannot be used."""
+        self.settings = settings
+        self.log = log
+        self.reload_settings = reload_settings
+        self.scheduler = Scheduler(lambda text: log.exception(text))
+        self.process = secrets.token_hex(6)
+        self.address = f"{settings.ip}:{settings.port_range.first}"
+        opened = open_cells(settings.data_dir, settings.node_name)
+        for note in opened.notes:
+            log.warning("disk", note=note)
+        self.sync = SyncThread(opened.store, self.scheduler, self._disk_failed)
+        self.dialers = DialerSet(
+            self.scheduler, self._hello, self._heartbeat, self._on_dialed, self._on_message
+        )
+        self.register = RegisterHost(
+            self.scheduler, self.address, opened, self.sync, self._send, topics.REGISTERS, log
+        )
+        self.distribution = Distribution(self.dialers.broadcast)
+        self.heartbeats = 0
+        self._learned: dict[str, tuple] = {}  # key: the accepted ballot that was last seen committed
+        self.weights: WeightsDuty | None = None
+
+    # ---- life
+
+    def start(self) -> None:
+        """Listen and dial; raises `OSError` where an address cannot be had."""
+        settings = self.settings
+        inner = (settings.ip, settings.port_range.first)
+        self.peers = PeerListener(self.scheduler, inner, self._on_socket)
+        api = OperatorApi(self.register, self.distribution.publish, self.log)
+        bind = settings.bind.control_plane
+        self.server = HttpServer(self.scheduler, (bind.host, bind.port), api.answer, MOST_BODY)
+        self.sync.start()
+        self.weights = WeightsDuty(
+            self.scheduler,
+            settings,
+            self.process,
+            self.register,
+            self._named,
+            self.distribution.publish,
+            self.log,
+        )
+        self.distribution.on_learned.append(self.weights.on_update)
+        self.distribution.on_learned.append(self._on_learned)
+        if self.register.voting:
+            self._tell_members()
+        elif settings.bootstrap and self.address in self._seeds():
+            self.register.form(tuple(sorted(self._seeds())), self._tell_members)
+        self._follow_members()
+        self.scheduler.spawn("learner", self._learn_loop)
+
+    def run(self, signals: socket.socket) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        self.scheduler.watch(signals.fileno(), lambda: self._on_signals(signals.recv(64)))
+        gc.collect()
+        gc.freeze()
+        self.scheduler.run()
+        self.sync.stop(DISK_STOP_S)
+
+    def _on_signals(self, numbers: bytes) -> None:
+        if signal.SIGHUP in numbers:
+            fresh = self.reload_settings()
+            if fresh is not None:
+                self.settings = fresh
+                self._follow_members()
+        if signal.SIGTERM in numbers or signal.SIGINT in numbers:
+            self.log.info("stopping")
+            self.server.stop()
+            self.scheduler.call_at(clock() + STOP_NS, self.scheduler.stop)
+
+    def _disk_failed(self, failure: Exception) -> None:
+        self.log.error("disk failed", reason=str(failure))
+
+    # ---- members
+
+    def _seeds(self) -> set[str]:
+        port = self.settings.port_range.first
+        return {f"{seed.host}:{port}" for seed in self.settings.seed_nodes}
+
+    def _follow_members(self) -> None:
+        wanted = set(self.register.members) or self._seeds()
+        self.dialers.follow(wanted - {self.address})
+
+    def _tell_members(self) -> None:
+        members = MembersValue(FIRST_MEMBERS, self.register.members)
+        self.distribution.publish(Update(topics.MEMBERS, members.sequence, encode_value(members)))
+        self._follow_members()
+
+    def _on_learned(self, update: Update) -> None:
+        if update.topic != topics.MEMBERS or self.register.voting or self.settings.bootstrap:
+            return
+        told = decode_value(update.value, MembersValue)
+        if told is not None and self.address in told.members:
+            self.register.recover(told.members, self._tell_members)
+            self._follow_members()
+
+    # ---- peers
+
+    def _hello(self) -> Hello:
+        settings = self.settings
+        return Hello(
+            settings.node_name,
+            "controlplane",
+            self.process,
+            settings.zone,
+            settings.region,
+            self.address,
+            self.register.incarnation,
+        )
+
+    def _heartbeat(self) -> Heartbeat:
+        self.heartbeats += 1
+        return Heartbeat(
+            self.settings.node_name, self.process, self.heartbeats, self.distribution.topics.versions()
+        )
+
+    def _send(self, member: str, message: Message) -> None:
+        self.dialers.send(member, message)
+
+    def _on_dialed(self, connection: PeerConnection) -> None:
+        connection.send(Subscribe(self.distribution.topics.versions()))
+
+    def _on_socket(self, sock: socket.socket) -> None:
+        connection = PeerConnection(self.scheduler, sock, self._on_message, self.distribution.forget)
+        connection.send(self._hello())
+
+    def _on_message(self, connection: PeerConnection, message: Message) -> None:
+        if isinstance(message, Prepare | Accept | Promise | Accepted):
+            self.register.handle(message, connection.send)
+        elif isinstance(message, Update):
+            self.distribution.hear(message)
+        elif isinstance(message, Subscribe):
+            self.distribution.subscribe(connection, message)
+        elif isinstance(message, Heartbeat):
+            self._on_heartbeat(connection, message)
+        elif isinstance(message, Hello) and message.incarnation:
+            self.register.identity.incarnations[message.address] = message.incarnation
+
+    def _on_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
+        if connection in self.distribution.subscribers:
+            self.distribution.on_heartbeat(connection, message)
+            connection.send(self._heartbeat())
+
+    # ---- what was committed without this process being told
+
+    def _named(self) -> dict[str, int]:
+        update = self.distribution.topics.get(topics.VERSIONS)
+        told = decode_value(update.value, VersionsValue) if update is not None else None
+        return {} if told is None else {v.model: v.revision for v in told.versions}
+
+    def _learn_loop(self) -> None:
+        """Read each register whose accepted value here is not the one that was last told as committed."""
+        while True:
+            self.scheduler.sleep(LEARN_TICK_NS)
+            for key in topics.REGISTERS:
+                if key != topics.MEMBERS and self._is_unlearned(key):
+                    self._learn(key)
+
+    def _is_unlearned(self, key: str) -> bool:
+        if not self.register.voting:
+            return False
+        if key not in self._learned:
+            return True
+        cell = self.register.acceptor.cell(key)
+        if not cell.value:
+            return False
+        update = self.distribution.topics.get(key)
+        value = decode_value(cell.value, VALUE_TYPES[key])
+        return value is not None and (update is None or update.sequence < value.sequence)
+
+    def _learn(self, key: str) -> None:
+        result = self.register.change(key, changes.unchanged, clock() + LEARN_NS)
+        if not isinstance(result, Committed):
+            return
+        self._learned[key] = (result.ballot,)
+        value = decode_value(result.value, VALUE_TYPES[key])
+        if value is not None:
+            self.distribution.publish(Update(key, value.sequence, result.value))
--- /dev/null
+++ b/iristrack/controlplane/weights.py
@@ -0,0 +1,188 @@
+"""The duty of bringing servers to the named weights: held by one core member at a time, fenced."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+from iristrack.controlplane import changes
+from iristrack.controlplane.register_host import RegisterHost
+from iristrack.duties.lease import Lease
+from iristrack.engines.reports import MalformedReport, Report, read_report
+from iristrack.engines.roll import Upgrade, next_upgrades, wanted_upgrades
+from iristrack.http1 import messages as http
+from iristrack.http1.fetching import Caller
+from iristrack.placement.servers import ListedServer
+from iristrack.platform_api.server_list import ListUnavailable, fetch_list
+from iristrack.register import Committed, Overtaken, Rejected
+from iristrack.relay import topics
+from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.settings import Settings
+from iristrack.wire.codec import encode
+from iristrack.wire.dialing import parse_address
+from iristrack.wire.messages import BusyServers, DutyValue, Update
+from iristrack.wire.values import decode_value
+
+NS_PER_MS = 1_000_000
+TICK_NS = 100 * NS_PER_MS
+CLAIM_NS = 800 * NS_PER_MS
+CALL_NS = 700 * NS_PER_MS
+POLL_BUSY_NS = 500 * NS_PER_MS  # between two lists while weights are brought to servers,
+POLL_IDLE_NS = 2000 * NS_PER_MS  # and while all servers hold the named ones
+REPORT_NS = 200 * NS_PER_MS
+GIVE_UP_NS = 12_000 * NS_PER_MS  # an upgrade that takes longer is begun anew
+FENCE_SHIFT = 24  # the sequence of a holder's updates: its fence, then a counter
+METHOD = "wait"
+
+
+class WeightsDuty:
+    """Claims the duty when there is work, and does it while the lease holds."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        settings: Settings,
+        process: str,
+        register: RegisterHost,
+        named: Callable[[], dict[str, int]],
+        publish: Callable[[Update], None],
+        log,
+    ) -> None:
+        """`named` gives the newest revision of each model; starts with the next turn of the loop."""
+        self.scheduler = scheduler
+        self.settings = settings
+        self.register = register
+        self.named = named
+        self.publish = publish
+        self.log = log
+        lease_ns = int(settings.rule_bounds.lease_ms) * NS_PER_MS
+        self.lease = Lease(settings.node_name, process, lease_ns)
+        self.servers: list[ListedServer] = []
+        self.under_way: dict[str, Upgrade] = {}
+        self._done: dict[tuple[str, str], int] = {}  # (instance, model): revision that its report told
+        self._updates = 0
+        self._list_at = 0
+        provider = settings.provider_api
+        if provider is not None:
+            self._caller = Caller(scheduler, (provider.address.host, provider.address.port))
+            scheduler.spawn("weights duty", self._run)
+
+    def on_update(self, update: Update) -> None:
+        """The duty's value was told of."""
+        if update.topic == topics.WEIGHTS_DUTY:
+            self.lease.saw(decode_value(update.value, DutyValue), clock())
+
+    def _run(self) -> None:
+        while True:
+            self.scheduler.sleep(TICK_NS)
+            if not any(revision > 1 for revision in self.named().values()):
+                continue
+            if self.lease.seen is None:
+                self.lease.saw(None, clock())
+            if self.lease.wants_claim(clock()):
+                self._claim()
+            if self.lease.may_act(clock()):
+                self._work()
+
+    def _claim(self) -> None:
+        began = clock()
+        expected = self.lease.seen
+        change = changes.claim_duty(self.lease.node, self.lease.process, expected)
+        result = self.register.change(topics.WEIGHTS_DUTY, change, began + CLAIM_NS)
+        now = clock()
+        if isinstance(result, Committed):
+            value = decode_value(result.value, DutyValue)
+            if (value.owner, value.process) == (self.lease.node, self.lease.process):
+                if self.lease.holding is None:
+                    self.log.info("duty taken", duty=topics.WEIGHTS_DUTY, fence=value.fence)
+                self.lease.claimed(value, began, now)
+                self.publish(Update(topics.WEIGHTS_DUTY, value.sequence, result.value))
+        elif isinstance(result, Rejected | Overtaken):
+            self.lease.saw(decode_value(result.value, DutyValue), now)
+
+    def _work(self) -> None:
+        now = clock()
+        if now >= self._list_at:
+            self._poll_list()
+        wanted = [u for u in wanted_upgrades(self.servers, self.named()) if not self._is_done(u)]
+        self._list_at = min(self._list_at, now + POLL_BUSY_NS) if wanted else self._list_at
+        for upgrade in next_upgrades(wanted, self.under_way):
+            self.under_way[upgrade.instance_id] = upgrade
+            self._tell_busy()
+            self.scheduler.spawn("upgrade", self._upgrade, upgrade)
+
+    def _poll_list(self) -> None:
+        try:
+            self.servers = fetch_list(self._caller, clock() + CALL_NS)
+        except ListUnavailable as fault:
+            self.log.warning("no server list", reason=str(fault))
+        self._list_at = clock() + POLL_IDLE_NS
+        listed = {server.instance_id for server in self.servers}
+        self._done = {key: revision for key, revision in self._done.items() if key[0] in listed}
+
+    def _is_done(self, upgrade: Upgrade) -> bool:
+        return self._done.get((upgrade.instance_id, upgrade.model), 0) >= upgrade.revision
+
+    def _upgrade(self, upgrade: Upgrade) -> None:
+        """Order one server to take the weights and wait until it holds them."""
+        caller = Caller(self.scheduler, parse_address(upgrade.address))
+        began = clock()
+        ordered = False
+        try:
+            while clock() - began < GIVE_UP_NS:
+                report = self._report(caller)
+                if report is not None and report.revisions.get(upgrade.model, 0) >= upgrade.revision:
+                    self._done[upgrade.instance_id, upgrade.model] = upgrade.revision
+                    self.log.info(
+                        "weights taken", server=upgrade.instance_id, ms=(clock() - began) // NS_PER_MS
+                    )
+                    return
+                if report is not None and not report.busy and not ordered:
+                    ordered = self._order(caller, upgrade, report)
+                self.scheduler.sleep(REPORT_NS)
+        finally:
+            caller.close()
+            self.under_way.pop(upgrade.instance_id, None)
+            self._tell_busy()
+
+    def _report(self, caller: Caller) -> Report | None:
+        try:
+            answer = caller.call(b"GET", b"/report", b"", b"", clock() + CALL_NS)
+            return read_report(answer.body) if answer.head.status == 200 else None
+        except (OSError, http.Malformed, http.Truncated, MalformedReport):
+            return None
+
+    def _order(self, caller: Caller, upgrade: Upgrade, report: Report) -> bool:
+        """Give the order if the lease still holds; whether the server has it, as far as is known."""
+        if not self.lease.may_act(clock()):
+            return False
+        holding = self.lease.holding
+        body = {
+            "order_kind": "revision",
+            "model_name": upgrade.model,
+            "revision": upgrade.revision,
+            "method": METHOD,
+            "owner": self.lease.node,
+            "fence_no": holding.fence,
+            "expected_count": report.call_count,
+        }
+        lines = (
+            b"Content-Type: application/json\r\nX-Iristrack-Expect-Instance: %b\r\n"
+            % upgrade.instance_id.encode()
+        )
+        try:
+            answer = caller.call(b"POST", b"/order", lines, json.dumps(body).encode(), clock() + CALL_NS)
+        except (OSError, http.Malformed, http.Truncated):
+            return False  # it may have been taken: `expected_count` guards the next one
+        self.log.info(
+            "order", server=upgrade.instance_id, revision=upgrade.revision, status=answer.head.status
+        )
+        return answer.head.status in (200, 202)
+
+    def _tell_busy(self) -> None:
+        if self.lease.holding is None:
+            return
+        self._updates += 1
+        sequence = (self.lease.holding.fence << FENCE_SHIFT) + self._updates
+        value = encode(BusyServers(tuple(sorted(self.under_way))))
+        self.publish(Update(topics.BUSY_SERVERS, sequence, value))
--- /dev/null
+++ b/iristrack/dataplane/attempts.py
@@ -0,0 +1,198 @@
+"""One sending of a request to one server: the connection, the answer's head and its pieces."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from enum import Enum
+
+from iristrack.dataplane.clients import ClientConnection, ClientLeft
+from iristrack.http1 import messages as http
+from iristrack.http1.connection import RECEIVE, Link
+from iristrack.net.links import Links
+from iristrack.placement.servers import Server
+from iristrack.runtime.scheduler import READ, WOKEN, WRITE, Scheduler, clock
+
+NS_PER_MS = 1_000_000
+CONNECT_NS = 400 * NS_PER_MS
+USER_TIMEOUT_MS = 700  # unacknowledged bytes for so long end a connection to a server
+KEEPALIVE_S = 1  # and silence of its machine is noticed by probes
+KEEPALIVE_PROBES = 2
+ATTEMPT_ID = b"x-iristrack-attempt-id"
+NOT_EXECUTED = b"x-iristrack-not-executed"
+SEAL = b"x-iristrack-server-seal"
+
+
+class AttemptFailed(Exception):
+    """An attempt without a whole answer; `ran` tells whether the server may have run it."""
+
+    def __init__(self, reason: str, ran: bool) -> None:
+        """`reason` is for the log."""
+        super().__init__(reason)
+        self.ran = ran
+
+
+class DeadlinePassed(Exception):
+    """The time for the request is over while the server was working."""
+
+
+class Verdict(Enum):
+    """What an answer's head says."""
+
+    SUCCESS = "success"
+    NOT_EXECUTED = "not_executed"  # turned away: it has not run, and never will
+    FAILURE = "failure"  # it ran, and this is the answer
+    UNKNOWN = "unknown"  # a status that promises what the server did not say: it may have run
+
+
+def verdict(head: http.Head) -> Verdict:
+    """Judge an answer by its head alone."""
+    if NOT_EXECUTED in head.fields or head.status == 421:
+        return Verdict.NOT_EXECUTED
+    if 200 <= head.status < 300:
+        return Verdict.SUCCESS if SEAL in head.fields else Verdict.UNKNOWN
+    if head.status in (408, 421, 429, 503):
+        return Verdict.UNKNOWN
+    return Verdict.FAILURE
+
+
+class Attempt:
+    """One attempt. Its methods are called in order: `send`, `read_head`, `pieces`, and `close` at any end."""
+
+    def __init__(
+        self, scheduler: Scheduler, links: Links, server: Server, client: ClientConnection, deadline: int
+    ) -> None:
+        """`deadline` (ns) is that of the whole request."""
+        self.scheduler = scheduler
+        self.links = links
+        self.server = server
+        self.client = client
+        self.deadline = deadline
+        self.written = False  # may the server have the request?
+        self.head: http.Head | None = None
+        self._link: Link | None = None
+        self._whole: http.Message | None = None  # an answer without a body
+
+    def send(self, request: bytes) -> None:
+        """Open or reuse a connection and write the request; raises `AttemptFailed`."""
+        try:
+            link = self.links.take(self.server.instance_id, min(self.deadline, clock() + CONNECT_NS))
+        except OSError as fault:
+            raise AttemptFailed(f"connect: {fault}", ran=False) from None
+        if link is None:
+            raise AttemptFailed("no connection can be had", ran=False)
+        self._link = link
+        self._set_options(link.sock)
+        self.written = True
+        try:
+            self._write(request)
+        except OSError as fault:
+            raise AttemptFailed(f"write: {fault}", ran=True) from None
+
+    def read_head(self, attempt_id: bytes) -> http.Head:
+        """The head of this attempt's answer; answers of earlier requests that come late are dropped."""
+        reader = self._link.reader
+        while True:
+            message = self._receive()
+            head = message.head if message is not None else reader.head
+            if head is None:
+                continue
+            if head.status == 101:
+                raise AttemptFailed("another protocol", ran=True)
+            if head.fields.get(ATTEMPT_ID, attempt_id) == attempt_id:
+                self.head = head
+                self._whole = message
+                return head
+            if message is None:
+                self._drop_answer()
+
+    def pieces(self) -> Iterator[bytes]:
+        """The answer's body as it comes, without its framing; ends only with the whole body."""
+        if self._whole is not None:
+            yield self._whole.body
+            return
+        reader = self._link.reader
+        while True:
+            data = reader.take()
+            if data:
+                yield data
+            if reader.done:
+                reader.finish()
+                return
+            self._receive()
+
+    def finish(self) -> None:
+        """The answer is whole: the connection may be used again, unless the server says otherwise."""
+        link = self._link
+        self._link = None
+        if link is None:
+            return
+        if self.head.keeps_alive and link.reader.empty:
+            self.links.put_back(link)
+        else:
+            self.links.close(link)
+
+    def close(self) -> None:
+        """End the connection, wherever the attempt stands."""
+        if self._link is not None:
+            self.links.close(self._link)
+            self._link = None
+
+    def _drop_answer(self) -> None:
+        reader = self._link.reader
+        reader.take()
+        while not reader.done:
+            self._receive()
+            reader.take()
+        reader.finish()
+
+    def _receive(self) -> http.Message | None:
+        """Wait for bytes and feed them; raises `AttemptFailed`, `DeadlinePassed` or `ClientLeft`."""
+        link = self._link
+        reader = link.reader
+        try:
+            if not reader.empty and reader.head is None:
+                message = reader.feed(b"")
+                if message is not None or reader.head is not None:
+                    return message
+            data = self._recv(link)
+            if data:
+                return reader.feed(data)
+            message = reader.end()
+            if message is None and not reader.done:
+                raise AttemptFailed("closed before the answer's end", ran=True)
+            return message
+        except TimeoutError:
+            raise DeadlinePassed from None
+        except (OSError, http.Malformed, http.Truncated) as fault:
+            raise AttemptFailed(f"read: {fault}", ran=True) from None
+
+    def _recv(self, link: Link) -> bytes:
+        while True:
+            if self.client.left:
+                raise ClientLeft
+            try:
+                return link.sock.recv(RECEIVE)
+            except BlockingIOError:
+                pass
+            if self.scheduler.wait(link.fd, READ, self.deadline) == WOKEN and self.client.left:
+                raise ClientLeft
+
+    def _write(self, request: bytes) -> None:
+        link = self._link
+        view = memoryview(request)
+        while view:
+            if self.client.left:
+                raise ClientLeft
+            try:
+                view = view[link.sock.send(view) :]
+            except BlockingIOError:
+                self.scheduler.wait(link.fd, WRITE, self.deadline)
+
+    @staticmethod
+    def _set_options(sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
--- /dev/null
+++ b/iristrack/dataplane/control_link.py
@@ -0,0 +1,116 @@
+"""The data plane's side of updates: subscribed to every core member, the newest value of each topic counts."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+
+from iristrack.configuration.document import parse_configuration
+from iristrack.dataplane.state import ActiveConfiguration, ModelVersion, PlaneState
+from iristrack.relay import topics
+from iristrack.relay.topics import TopicTable
+from iristrack.runtime.scheduler import clock
+from iristrack.wire.connection import PeerConnection
+from iristrack.wire.dialing import DialerSet
+from iristrack.wire.messages import (
+    BusyServers,
+    ConfigurationValue,
+    Heartbeat,
+    Hello,
+    MembersValue,
+    Message,
+    Subscribe,
+    Update,
+    VersionsValue,
+)
+from iristrack.wire.values import decode_value
+
+NS_PER_MS = 1_000_000
+BUSY_NS = 3000 * NS_PER_MS  # a server that takes new weights is left alone for so long unless told otherwise
+
+
+class ControlLink:
+    """Connections to the core, and what their updates change here."""
+
+    def __init__(self, plane: PlaneState, log) -> None:
+        """Dials the seeds at once."""
+        self.plane = plane
+        self.log = log
+        self.topics = TopicTable()
+        self.process = secrets.token_hex(6)
+        self.heartbeats = 0
+        self.heard: set[str] = set()  # addresses that have told all they know
+        self._busy: set[str] = set()
+        self._handlers: dict[str, Callable[[bytes], None]] = {
+            topics.CONFIGURATION: self._on_configuration,
+            topics.VERSIONS: self._on_versions,
+            topics.MEMBERS: self._on_members,
+            topics.BUSY_SERVERS: self._on_busy_servers,
+        }
+        self.dialers = DialerSet(
+            plane.scheduler, self._hello, self._heartbeat, self._subscribe, self._on_message
+        )
+        self.follow_seeds()
+
+    def follow_seeds(self) -> None:
+        """Dial the members that are known, and the seeds of the settings."""
+        settings = self.plane.settings
+        seeds = {f"{seed.host}:{settings.port_range.first}" for seed in settings.seed_nodes}
+        update = self.topics.get(topics.MEMBERS)
+        members = decode_value(update.value, MembersValue) if update is not None else None
+        self.dialers.follow(seeds | set(members.members if members is not None else ()))
+
+    def _hello(self) -> Hello:
+        settings = self.plane.settings
+        return Hello(
+            settings.node_name, "dataplane", self.process, settings.zone, settings.region, settings.ip, ""
+        )
+
+    def _heartbeat(self) -> Heartbeat:
+        self.heartbeats += 1
+        return Heartbeat(self.plane.settings.node_name, self.process, self.heartbeats, self.topics.versions())
+
+    def _subscribe(self, connection: PeerConnection) -> None:
+        connection.send(Subscribe(self.topics.versions()))
+
+    def _on_message(self, connection: PeerConnection, message: Message) -> None:
+        if isinstance(message, Update) and self.topics.learn(message):
+            handler = self._handlers.get(message.topic)
+            if handler is not None:
+                handler(message.value)
+        elif isinstance(message, Heartbeat):
+            self.heard.add(message.node)
+
+    def _on_configuration(self, value: bytes) -> None:
+        told = decode_value(value, ConfigurationValue)
+        if told is None or not told.body:
+            return
+        active = ActiveConfiguration(parse_configuration(told.body))
+        self.plane.active = active
+        self.log.info("configuration in force", revision=told.revision, sequence=told.sequence)
+
+    def _on_versions(self, value: bytes) -> None:
+        told = decode_value(value, VersionsValue)
+        if told is None:
+            return
+        for version in told.versions:
+            known = self.plane.versions.get(version.model)
+            if known is None or known.revision < version.revision:
+                self.plane.versions[version.model] = ModelVersion(version.revision, clock())
+                self.log.info("weights named", model=version.model, revision=version.revision)
+
+    def _on_members(self, value: bytes) -> None:
+        self.follow_seeds()
+
+    def _on_busy_servers(self, value: bytes) -> None:
+        """Leave servers alone that take new weights; those that were named before are back."""
+        told = decode_value(value, BusyServers)
+        if told is None:
+            return
+        now = clock()
+        busy = set(told.instances)
+        for instance in busy | self._busy:
+            server = self.plane.servers.servers.get(instance)
+            if server is not None:
+                server.avoid_until = now + BUSY_NS if instance in busy else 0
+        self._busy = busy
--- /dev/null
+++ b/iristrack/dataplane/discovery.py
@@ -0,0 +1,60 @@
+"""Following the platform's list of servers."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+from iristrack import interface as mi
+from iristrack.dataplane.state import PlaneState
+from iristrack.http1.fetching import Caller
+from iristrack.placement.servers import ListedServer
+from iristrack.platform_api.server_list import ListUnavailable, fetch_list
+from iristrack.runtime.scheduler import clock
+
+NS_PER_MS = 1_000_000
+NS_PER_S = 1_000 * NS_PER_MS
+POLL_NS = NS_PER_S
+CALL_NS = 800 * NS_PER_MS
+FORGET_LINKS_NS = 5 * NS_PER_S
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """`ip:port` as a pair; raises `ValueError`."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def apply_list(plane: PlaneState, entries: list[ListedServer]) -> None:
+    """Follow a whole list: the table of servers, and the connections to them."""
+    for server in plane.servers.take_list(entries):
+        plane.index.forget(server.address)
+        plane.first_reads.forget(server.address)
+    followed = [
+        (
+            mi.ServerEntry(
+                e.instance_id, mi.ServerState.READY if e.ready else mi.ServerState.DRAINING, e.zone
+            ),
+            split_address(e.address),
+        )
+        for e in entries
+    ]
+    plane.links.follow(followed, whole=True)
+    plane.links.forget_gone(FORGET_LINKS_NS)
+
+
+class ListPoller:
+    """Asks the platform for the list once in a while."""
+
+    def __init__(self, plane: PlaneState) -> None:
+        """Starts with the first turn of the loop."""
+        self.plane = plane
+        provider = plane.settings.provider_api
+        if provider is not None:
+            self.caller = Caller(plane.scheduler, (provider.address.host, provider.address.port))
+            plane.scheduler.spawn("list poller", self._run)
+
+    def _run(self) -> None:
+        while True:
+            with suppress(ListUnavailable, ValueError):  # the last list stands; the next call is soon
+                apply_list(self.plane, fetch_list(self.caller, clock() + CALL_NS))
+            self.plane.scheduler.sleep(POLL_NS)
--- /dev/null
+++ b/iristrack/dataplane/events.py
@@ -0,0 +1,54 @@
+"""Cutting a server's event stream into whole events, and reading their ids. Pure functions of bytes."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+MOST_EVENT = 1 << 20  # bytes of one event
+_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,18})(?=[\r\n]|$)")
+_VERSIONS = re.compile(rb"(?:^|[\r\n])versions:[ ]?([0-9]{1,18})(?=[\r\n]|$)")
+
+
+class EventTooLarge(ValueError):
+    """An event over `MOST_EVENT`."""
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One whole event as it came; `id` is None where it has none."""
+
+    data: bytes
+    id: int | None
+    revision: int | None  # of the model's weights, where the event tells of a change
+
+
+class EventSplitter:
+    """Takes the stream's bytes in whatever pieces, gives whole events."""
+
+    def __init__(self) -> None:
+        """Nothing has come."""
+        self._buffer = bytearray()
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes behind the last whole event."""
+        return bytes(self._buffer)
+
+    def feed(self, data: bytes) -> list[Event]:
+        """The events that these bytes complete; raises `EventTooLarge`."""
+        self._buffer += data
+        events = []
+        while match := _END.search(self._buffer):
+            events.append(_event(bytes(self._buffer[: match.end()])))
+            del self._buffer[: match.end()]
+        if len(self._buffer) > MOST_EVENT:
+            raise EventTooLarge("an event without an end")
+        return events
+
+
+def _event(data: bytes) -> Event:
+    found = _ID.search(data)
+    told = _VERSIONS.search(data)
+    return Event(data, int(found[1]) if found else None, int(told[1]) if told else None)
--- /dev/null
+++ b/iristrack/dataplane/exchange.py
@@ -0,0 +1,362 @@
+"""One client's request from its arrival to the end of its answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from iristrack.dataplane.attempts import Attempt, AttemptFailed, DeadlinePassed, Verdict, verdict
+from iristrack.dataplane.clients import ClientConnection, ClientLeft
+from iristrack.dataplane.events import EventSplitter, EventTooLarge
+from iristrack.dataplane.requests import ClientRequest, Rejected, read_request
+from iristrack.dataplane.state import PlaneState
+from iristrack.http1 import messages as http
+from iristrack.placement.choice import Placement, choose
+from iristrack.placement.engines import cache_salt, serving
+from iristrack.placement.servers import Server
+from iristrack.prefix_index.parts import shared_parts
+from iristrack.runtime.scheduler import clock
+
+NS_PER_MS = 1_000_000
+NS_PER_S = 1_000 * NS_PER_MS
+RETRY_AFTER_S = 0.25  # told to a client whose request has not run
+LEAST_LEFT_NS = 20 * NS_PER_MS  # with less time left nothing is sent any more
+LEAST_FETCH_TOKENS = 64  # fewer are read faster than they are moved
+OLD_WEIGHTS_SHARE = 0.6  # of `version_ms` after which no request is sent to servers on older weights
+WHOLE_ANSWER = 256 * 1024  # a longer one is passed on in pieces
+
+
+@dataclass(frozen=True, slots=True)
+class CacheUse:
+    """Where a request finds and leaves the parts of its prompt."""
+
+    revision: int
+    salt: str
+    fetch_from: str | None
+    save_to: str | None
+
+
+class Exchange:
+    """Finds a server, passes the answer on, and goes on elsewhere where that is allowed."""
+
+    def __init__(
+        self, plane: PlaneState, client: ClientConnection, request: ClientRequest, keep: bool
+    ) -> None:
+        """`keep`: does the client's connection go on after the answer?"""
+        self.plane = plane
+        self.client = client
+        self.request = request
+        self.keep = keep
+        self.tried: list[Server] = []  # servers to which it was sent
+        self.failed_at: set[str] = set()
+        self.may_have_run = False
+        self.begun = False  # has the client got a part of the answer?
+        self.last_event_id = request.last_event_id
+        self.service = self._draw_service()
+
+    def _draw_service(self) -> str:
+        targets = self.request.route.targets
+        if len(targets) == 1:
+            return targets[0].target
+        return self.plane.rng.choices(targets, [target.share for target in targets])[0].target
+
+    # ---- the whole
+
+    def run(self) -> None:
+        """Answer the request, whatever happens."""
+        counters = self.plane.counters
+        counters.requests += 1
+        self.plane.budget(self.service).earn()
+        try:
+            self._run()
+        except ClientLeft:
+            counters.client_left += 1
+            self.client.left = True
+        except DeadlinePassed:
+            counters.failed += 1
+            self._fail(504, b"the time is over\n")
+
+    def _run(self) -> None:
+        while True:
+            server = self._next_server()
+            if server is None:
+                self._give_up()
+                return
+            if self._try(server):
+                self.plane.counters.served += 1
+                return
+
+    def _next_server(self) -> Server | None:
+        """The server for the next attempt; None where there is none, or it may not be sent again."""
+        now = clock()
+        if self.may_have_run and not self.request.idempotent:
+            return None
+        if self.request.hold_until - now < LEAST_LEFT_NS:
+            return None
+        if len(self.tried) >= self.request.route.max_tries:
+            return None
+        server = self._choose(now)
+        if server is not None and self.tried and not self.plane.budget(self.service).spend():
+            return None
+        return server
+
+    def _give_up(self) -> None:
+        if self.begun:
+            self._break_off()
+        elif self.may_have_run:
+            self.plane.counters.failed += 1
+            self._fail(502, b"the server broke off\n")
+        else:
+            self.plane.counters.refused += 1
+            retry_after = b"Retry-After: %.3f\r\n" % RETRY_AFTER_S
+            self._answer(503, b"not run: no server can take it now\n", retry_after)
+
+    def _fail(self, status: int, body: bytes) -> None:
+        if self.begun:
+            self._break_off()
+        else:
+            self._answer(status, body, b"")
+
+    def _answer(self, status: int, body: bytes, lines: bytes) -> None:
+        self.client.write(http.response(status, body, lines, close=not self.keep))
+
+    def _break_off(self) -> None:
+        """End the connection so that the answer does not look complete."""
+        self.client.broken = True
+
+    # ---- which server
+
+    def _choose(self, now: int) -> Server | None:
+        listed = self.plane.servers.of_service(self.service)
+        usable = [s for s in listed if s.usable(now) and s.instance_id not in self.failed_at]
+        model = self.request.model
+        if model is not None:
+            usable = self._on_current_weights(usable, model, now)
+        placement = Placement(self.request.key, self.request.memory_tokens)
+        return choose(usable, placement, self._kept_tokens, self.plane.rng)
+
+    def _on_current_weights(self, servers: list[Server], model: str, now: int) -> list[Server]:
+        """Servers that may begin requests: soon after a new revision was acknowledged only those that hold it."""
+        version = self.plane.versions.get(model)
+        if version is None:
+            return serving(servers, model, 0)
+        grace = int(self.plane.settings.rule_bounds.version_ms * OLD_WEIGHTS_SHARE) * NS_PER_MS
+        least = version.revision if now >= version.learned_at + grace else 0
+        return serving(servers, model, least)
+
+    def _salt(self, server: Server) -> str:
+        tenant = self.request.tenant
+        isolated = tenant.label if tenant is not None and tenant.isolated else None
+        model = self.request.model or ""
+        return cache_salt(model, server.revisions.get(model, 0), isolated)
+
+    def _kept_tokens(self, server: Server) -> int:
+        request = self.request
+        if not request.parts or request.model is None:
+            return 0
+        return self.plane.index.kept_tokens(server.address, self._salt(server), request.model, request.parts)
+
+    def _cache_use(self, server: Server) -> CacheUse | None:
+        """What the request is told of kept prompts; None where it has no prompt."""
+        request = self.request
+        if request.model is None:
+            return None
+        salt = self._salt(server)
+        revision = server.revisions.get(request.model, 0)
+        shared = shared_parts(request.parts)
+        if not shared:
+            return CacheUse(revision, salt, None, None)
+        index = self.plane.index
+        stores = [store.address for store in self.plane.active.stores]
+        peers = [s.address for s in self.plane.servers.of_service(self.service) if s is not server]
+        holders = [server.address, *peers, *stores]
+        kept = index.coverage(salt, request.model, request.parts, holders)
+        own = kept.pop(server.address)
+        source = max(kept, key=kept.__getitem__, default=None)
+        if source is not None and kept[source] < own + LEAST_FETCH_TOKENS:
+            source = None
+        wanted = sum(part.tokens for part in shared)
+        save_to = next((store for store in stores if kept[store] < wanted), None)
+        return CacheUse(revision, salt, source, save_to)
+
+    # ---- one attempt
+
+    def _try(self, server: Server) -> bool:
+        """Send it to a server and pass the answer on; false where another server may be asked."""
+        plane, request = self.plane, self.request
+        attempt = Attempt(plane.scheduler, plane.links, server, self.client, request.hold_until)
+        if self.tried:
+            plane.counters.retries += 1
+        cache = self._cache_use(server)
+        tokens = request.memory_tokens
+        server.began(tokens)
+        try:
+            attempt.send(self._encode(server, cache))
+            return self._take_answer(attempt, server, cache)
+        except AttemptFailed as failure:
+            self._note_failure(server, failure)
+            return False
+        except (EventTooLarge, http.Malformed) as fault:
+            self._note_failure(server, AttemptFailed(str(fault), ran=True))
+            return False
+        finally:
+            if attempt.written:
+                self.tried.append(server)
+            server.ended(tokens)
+            attempt.close()
+
+    def _note_failure(self, server: Server, failure: AttemptFailed) -> None:
+        self.failed_at.add(server.instance_id)
+        self.may_have_run = self.may_have_run or failure.ran
+        server.failed(clock())
+        self.plane.links.close_idle(server.instance_id)
+
+    def _encode(self, server: Server, cache: CacheUse | None) -> bytes:
+        request = self.request
+        left_ms = max(1, (request.hold_until - clock()) // NS_PER_MS)
+        parts = [
+            request.lines,
+            b"X-Iristrack-Time-Left-Ms: %d\r\n" % left_ms,
+            b"X-Iristrack-Expect-Instance: %b\r\n" % server.instance_id.encode("latin-1"),
+            b"Priority: %d\r\n" % max(0, min(9, request.priority)),
+        ]
+        if request.tenant is not None:
+            parts.append(b"X-Iristrack-Tenant: %b\r\n" % request.tenant.label.encode("latin-1", "replace"))
+        if self.last_event_id is not None:
+            parts.append(b"Last-Event-Id: %d\r\n" % self.last_event_id)
+        if cache is not None:
+            parts.append(_cache_lines(cache))
+        return http.request(request.method, request.target, b"".join(parts), request.body)
+
+    def _take_answer(self, attempt: Attempt, server: Server, cache: CacheUse | None) -> bool:
+        request = self.request
+        head = attempt.read_head(request.attempt_id)
+        said = verdict(head)
+        if said is Verdict.NOT_EXECUTED:
+            self._drop_rest(attempt)
+            self._note_rejection(server, head)
+            return False
+        if said is Verdict.UNKNOWN:
+            raise AttemptFailed(f"status {head.status} without a promise or a seal", ran=True)
+        self._learn_revision(server, head)
+        if said is Verdict.FAILURE:
+            self._pass_whole(attempt)
+            return True
+        if request.model is not None and cache is not None and request.parts:
+            self.plane.index.record_sent(server.address, cache.salt, request.model, request.parts, clock())
+        if request.streaming:
+            self._pass_events(attempt, server)
+        else:
+            self._pass_whole(attempt)
+        server.succeeded()
+        attempt.finish()
+        return True
+
+    def _drop_rest(self, attempt: Attempt) -> None:
+        for _ in attempt.pieces():
+            pass
+        attempt.finish()
+
+    def _note_rejection(self, server: Server, head: http.Head) -> None:
+        """It turned the request away: for its being full, another instance, or of other weights."""
+        self.failed_at.add(server.instance_id)
+        self._learn_revision(server, head)
+        server.rejected(clock())
+
+    def _learn_revision(self, server: Server, head: http.Head) -> None:
+        told = head.fields.get(b"versions", b"")
+        if told.isdigit() and self.request.model is not None:
+            server.saw_revision(self.request.model, int(told))
+
+    # ---- passing on
+
+    def _pass_whole(self, attempt: Attempt) -> None:
+        """Pass on an answer that is no stream: whole where it is short, else in pieces."""
+        body = bytearray()
+        pieces = attempt.pieces()
+        for piece in pieces:
+            body += piece
+            if len(body) > WHOLE_ANSWER:
+                self._pass_long(attempt, bytes(body), pieces)
+                return
+        head = attempt.head
+        attempt.finish()
+        if self.begun:  # a stream that went on elsewhere and failed there
+            self._break_off()
+            return
+        self.client.write(
+            http.response(head.status, bytes(body), head.passed_on(frozenset()), close=not self.keep)
+        )
+
+    def _pass_long(self, attempt: Attempt, first: bytes, pieces) -> None:
+        self._begin_answer(attempt.head)
+        try:
+            self.client.write(http.chunk(first))
+            for piece in pieces:
+                if piece:
+                    self.client.write(http.chunk(piece))
+        except (AttemptFailed, DeadlinePassed):
+            self._break_off()
+            return
+        self.client.write(http.LAST_CHUNK)
+
+    def _begin_answer(self, head: http.Head) -> None:
+        closing = b"" if self.keep else b"Connection: close\r\n"
+        lines = head.passed_on(frozenset())
+        reason = http.REASONS.get(head.status, b"OK")
+        self.client.write(
+            b"HTTP/1.1 %d %b\r\n%b%bTransfer-Encoding: chunked\r\n\r\n"
+            % (head.status, reason, lines, closing)
+        )
+        self.begun = True
+
+    def _pass_events(self, attempt: Attempt, server: Server) -> None:
+        """Pass on whole events as they come; those that the client has from an earlier attempt are left out."""
+        splitter = EventSplitter()
+        first = True
+        for piece in attempt.pieces():
+            events = splitter.feed(piece)
+            data = b"".join(event.data for event in events if self._is_next(event.id))
+            for event in events:
+                if event.revision is not None and self.request.model is not None:
+                    server.saw_revision(self.request.model, event.revision)
+            if not data:
+                continue
+            if first and not self.begun:
+                self._begin_answer(attempt.head)
+            first = False
+            self.client.write(http.chunk(data))
+            self.last_event_id = events[-1].id if events[-1].id is not None else self.last_event_id
+        if splitter.rest:
+            raise AttemptFailed("the stream ends inside an event", ran=True)
+        if not self.begun:
+            self._begin_answer(attempt.head)
+        self.client.write(http.LAST_CHUNK)
+
+    def _is_next(self, event_id: int | None) -> bool:
+        return event_id is None or self.last_event_id is None or event_id > self.last_event_id
+
+
+def _cache_lines(cache: CacheUse) -> bytes:
+    lines = [b"Cache-Salt: %b\r\n" % cache.salt.encode("latin-1", "replace")]
+    if cache.revision:
+        lines.append(b"Expect-Version: %d\r\n" % cache.revision)
+    if cache.fetch_from is not None:
+        lines.append(b"Kv-Fetch: %b\r\n" % cache.fetch_from.encode("latin-1"))
+    if cache.save_to is not None:
+        lines.append(b"Kv-Save: %b\r\n" % cache.save_to.encode("latin-1"))
+    return b"".join(lines)
+
+
+def answer_request(plane: PlaneState, client: ClientConnection, message: http.Message, arrived: int) -> bool:
+    """Answer one request; whether the client's connection goes on."""
+    keep = message.head.keeps_alive and not plane.draining and not client.listener.closing
+    if plane.active is None:
+        client.write(http.response(503, b"no configuration yet\n", b"Retry-After: 0.5\r\n", close=True))
+        return False
+    try:
+        request = read_request(plane.active, message, arrived)
+    except Rejected as rejection:
+        client.write(http.response(rejection.status, rejection.reason.encode() + b"\n", b"", close=not keep))
+        return keep
+    Exchange(plane, client, request, keep).run()
+    return keep and not client.broken and not client.left
--- /dev/null
+++ b/iristrack/dataplane/program.py
@@ -0,0 +1,176 @@
+"""The data plane as a process: settings, listeners, signals and an orderly end."""
+
+from __future__ import annotations
+
+import gc
+import random
+import resource
+import signal
+import socket
+from collections.abc import Callable
+
+from iristrack.dataplane.clients import ClientListener
+from iristrack.dataplane.control_link import ControlLink
+from iristrack.dataplane.discovery import ListPoller
+from iristrack.dataplane.exchange import answer_request
+from iristrack.dataplane.kept_prompts import KeptPromptWatcher
+from iristrack.dataplane.state import PlaneState
+from iristrack.http1 import messages as http
+from iristrack.http1.serving import HttpServer, Response
+from iristrack.net.links import Links
+from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.settings import Address, Settings
+
+NS_PER_MS = 1_000_000
+NS_PER_S = 1_000 * NS_PER_MS
+CLIENT_SHARE = 0.5  # of the descriptors
+SERVER_SHARE = 0.35
+SERVER_IDLE_NS = 5 * NS_PER_S  # connections to servers are kept idle for so long
+UNREADY_NS = 2500 * NS_PER_MS  # new clients come for so long after readiness is withdrawn
+END_MARGIN_NS = 600 * NS_PER_MS  # before the grace ends
+REPORT_NS = 10 * NS_PER_S
+SETTLE_NS = (
+    1500 * NS_PER_MS
+)  # ready without a majority of the core at the latest so long after the configuration
+
+
+class DataPlane:
+    """All parts of one data plane process."""
+
+    def __init__(self, settings: Settings, log, reload_settings: Callable[[], Settings | None]) -> None:
+        """Nothing listens before `start`; `reload_settings` is called at SIGHUP, None: they stay as they were."""
+        self.settings = settings
+        self.reload_settings = reload_settings
+        self.log = log
+        self.scheduler = Scheduler(lambda text: log.exception(text))
+        most = settings.limits.max_fds or 1024
+        links = Links(self.scheduler, SERVER_IDLE_NS, int(most * SERVER_SHARE), whole=0)
+        self.plane = PlaneState(settings, self.scheduler, links, random.Random())
+        self.most_clients = int(most * CLIENT_SHARE)
+        self.control: ControlLink | None = None
+        self.listener: ClientListener | None = None
+        self.readiness: HttpServer | None = None
+        self._configured_at: int | None = None
+
+    def start(self) -> None:
+        """Listen and dial; raises `OSError` where an address cannot be had."""
+        bind = self.settings.bind
+        self.readiness = HttpServer(self.scheduler, _pair(bind.readiness), self._answer_readiness, 64 * 1024)
+        self.listener = ClientListener(
+            self.scheduler, _pair(bind.front_http), self._exchange, self.most_clients
+        )
+        self.plane.links.start()
+        self.control = ControlLink(self.plane, self.log)
+        ListPoller(self.plane)
+        KeptPromptWatcher(self.plane)
+        self.scheduler.call_at(clock() + REPORT_NS, self._report)
+
+    def run(self, signals: socket.socket) -> None:
+        """Serve until SIGTERM or SIGINT has been obeyed."""
+        self.scheduler.watch(signals.fileno(), lambda: self._on_signals(signals.recv(64)))
+        gc.collect()
+        gc.freeze()
+        self.scheduler.run()
+
+    # ---- requests
+
+    def _exchange(self, client, message: http.Message, arrived: int) -> bool:
+        self._follow_limits()
+        return answer_request(self.plane, client, message, arrived)
+
+    def _follow_limits(self) -> None:
+        active = self.plane.active
+        if active is not None:
+            limits = active.configuration.limits
+            self.listener.most_body = limits.max_body_bytes
+            self.listener.header_ns = int(limits.header_timeout_ms * NS_PER_MS)
+            self.listener.idle_ns = int(limits.idle_timeout_ms * NS_PER_MS)
+
+    # ---- readiness
+
+    def _answer_readiness(self, message: http.Message) -> Response:
+        if message.head.target.partition(b"?")[0] != b"/ready":
+            return Response(404, b"", b"")
+        return Response(200 if self.ready else 503, b"", b"")
+
+    @property
+    def ready(self) -> bool:
+        """Does it take clients: with a configuration that is as new as any, and servers to send to?"""
+        if self.plane.draining or self.plane.active is None or not self.plane.servers.known:
+            return False
+        now = clock()
+        if self._configured_at is None:
+            self._configured_at = now
+        members = max(1, len(self.control.dialers.dialers))
+        heard = self.control.dialers.connected()
+        return heard >= members // 2 + 1 or now - self._configured_at > SETTLE_NS
+
+    # ---- signals
+
+    def _on_signals(self, numbers: bytes) -> None:
+        if signal.SIGHUP in numbers:
+            self._reload()
+        if signal.SIGTERM in numbers or signal.SIGINT in numbers:
+            self.stop()
+
+    def _reload(self) -> None:
+        fresh = self.reload_settings()
+        if fresh is not None:
+            self.settings = self.plane.settings = fresh
+            self.control.follow_seeds()
+
+    def stop(self) -> None:
+        """Withdraw readiness, serve what still comes, then end with the last answer or the grace."""
+        if self.plane.draining:
+            return
+        self.plane.draining = True
+        self.log.info("stopping", clients=len(self.listener.connections))
+        grace_ns = int(self.settings.rule_bounds.grace_s * NS_PER_S)
+        self.scheduler.call_at(clock() + min(UNREADY_NS, grace_ns // 2), self._close_listener)
+        self.scheduler.call_at(clock() + grace_ns - END_MARGIN_NS, self._end)
+
+    def _close_listener(self) -> None:
+        self.listener.stop_accepting()
+        self.listener.on_empty = self._end
+        self.listener.end_idle()
+        if not self.listener.connections:
+            self._end()
+
+    def _end(self) -> None:
+        self.log.info("stopped", **self._figures())
+        self.scheduler.stop()
+
+    # ---- the log
+
+    def _figures(self) -> dict[str, object]:
+        counters = self.plane.counters
+        return {
+            "requests": counters.requests,
+            "served": counters.served,
+            "refused": counters.refused,
+            "failed": counters.failed,
+            "retries": counters.retries,
+            "resumed": counters.resumed,
+            "client_left": counters.client_left,
+            "clients": len(self.listener.connections),
+            "server_connections": self.plane.links.open,
+            "index_entries": self.plane.index.entries,
+            "worst_turn_us": self.scheduler.worst_turn_ns // 1000,
+        }
+
+    def _report(self) -> None:
+        self.log.info("figures", **self._figures())
+        self.scheduler.worst_turn_ns = 0
+        self.scheduler.call_at(clock() + REPORT_NS, self._report)
+
+
+def raise_descriptor_limit(most: int | None) -> None:
+    """Have as many descriptors as the settings promise, where the system allows it."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if most is not None and soft != resource.RLIM_INFINITY and soft < most:
+        allowed = most if hard == resource.RLIM_INFINITY else min(most, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (allowed, hard))
+
+
+def _pair(address: Address) -> tuple[str, int]:
+    return address.host, address.port
--- /dev/null
+++ b/iristrack/dataplane/requests.py
@@ -0,0 +1,176 @@
+"""Reading a client's request: its route, its tenant and what it says of its prompt."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+from iristrack.configuration.model import Route, RouteKind, Tenant
+from iristrack.dataplane.state import ActiveConfiguration
+from iristrack.http1 import messages as http
+from iristrack.prefix_index.parts import MalformedPrefix, Part, parse_prefix
+
+NS_PER_MS = 1_000_000
+LONGEST_WAIT_MS = 3_600_000.0
+ASSUMED_WAIT_MS = 30_000.0  # of a client that does not say
+DEFAULT_PRIORITY = 5
+
+_ATTEMPT_ID = re.compile(rb"[\x21-\x7e]{1,200}\Z")
+_NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,9})?\Z")
+_TOKENS = re.compile(rb"([0-9]{1,9})(?:[ \t]*,[ \t]*([0-9]{1,9}))?\Z")
+REPLACED = frozenset(
+    {
+        b"x-iristrack-time-left-ms", b"x-iristrack-tenant", b"x-iristrack-expect-instance", b"expect-version",
+        b"cache-salt", b"kv-fetch", b"kv-save", b"priority", b"last-event-id",
+    }
+)  # fmt: skip
+_ONCE = frozenset({b"x-iristrack-attempt-id", b"x-iristrack-time-left-ms", b"host", b"authorization"})
+
+
+class Rejected(Exception):
+    """A request that is answered at once, without a server."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        """`reason` is for people."""
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+@dataclass(slots=True)
+class ClientRequest:
+    """One request, as the data plane treats it. Times are in ns of the scheduler's clock."""
+
+    attempt_id: bytes
+    method: bytes
+    target: bytes
+    lines: bytes  # header lines that are passed on as they came
+    body: bytes
+    route: Route
+    tenant: Tenant | None
+    arrived: int
+    deadline: int  # the client waits until then
+    hold_until: int  # and the operator wants it held until then
+    model: str | None
+    parts: tuple[Part, ...]
+    prompt_tokens: int
+    output_tokens: int
+    last_event_id: int | None
+    keeps_alive: bool
+    version: int  # minor version of HTTP/1
+
+    @property
+    def streaming(self) -> bool:
+        """Is the answer a series of events?"""
+        return self.route.kind is RouteKind.STREAMING
+
+    @property
+    def idempotent(self) -> bool:
+        """May it run more than once?"""
+        return self.route.kind is RouteKind.SAFE or (self.streaming and self.route.resumable)
+
+    @property
+    def priority(self) -> int:
+        """Rank at the servers, 0 first."""
+        if self.tenant is not None and self.tenant.priority is not None:
+            return self.tenant.priority
+        return self.route.priority
+
+    @property
+    def key(self) -> str | None:
+        """The prompt-prefix key: the last part that is shared with other requests, or the only one."""
+        if not self.parts:
+            return None
+        return self.parts[-2].id if len(self.parts) > 1 else self.parts[0].id
+
+    @property
+    def memory_tokens(self) -> int:
+        """Of a server's memory, once all of it is there."""
+        return self.prompt_tokens + self.output_tokens
+
+
+def read_request(active: ActiveConfiguration, message: http.Message, arrived: int) -> ClientRequest:
+    """Read a whole request; raises `Rejected`."""
+    head = message.head
+    fields = head.fields
+    if head.repeated & _ONCE:
+        raise Rejected(400, "a header that may stand once stands twice")
+    route = _route(active, head)
+    tenant = _tenant(active, route, fields)
+    attempt_id = fields.get(b"x-iristrack-attempt-id", b"")
+    if not _ATTEMPT_ID.match(attempt_id):
+        raise Rejected(400, "X-Iristrack-Attempt-Id is needed")
+    wait_ns = int(_wait_ms(fields) * NS_PER_MS)
+    hold_ns = min(wait_ns, int(route.timeout_ms * NS_PER_MS))
+    prompt_tokens, output_tokens = _tokens(fields)
+    hidden = REPLACED | {b"authorization"} if active.tenants.required else REPLACED
+    return ClientRequest(
+        attempt_id=attempt_id,
+        method=head.method,
+        target=head.target,
+        lines=head.passed_on(hidden),
+        body=message.body,
+        route=route,
+        tenant=tenant,
+        arrived=arrived,
+        deadline=arrived + wait_ns,
+        hold_until=arrived + hold_ns,
+        model=_text(fields.get(b"x-iristrack-model")),
+        parts=_parts(fields),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        last_event_id=_last_event_id(fields),
+        keeps_alive=head.keeps_alive,
+        version=head.version,
+    )
+
+
+def _route(active: ActiveConfiguration, head: http.Head) -> Route:
+    host = head.fields.get(b"host", b"").decode("latin-1")
+    path = head.target.partition(b"?")[0].decode("latin-1")
+    route = active.routes.match(host, path)
+    if route is None:
+        raise Rejected(404, "no route")
+    return route
+
+
+def _tenant(active: ActiveConfiguration, route: Route, fields: dict[bytes, bytes]) -> Tenant | None:
+    if not active.tenants.required:
+        return None
+    scheme, _, key = fields.get(b"authorization", b"").partition(b" ")
+    tenant = active.tenants.holder(key.strip().decode("latin-1")) if scheme.lower() == b"bearer" else None
+    if tenant is None and not route.public:
+        raise Rejected(401, "an unknown key")
+    return tenant
+
+
+def _wait_ms(fields: dict[bytes, bytes]) -> float:
+    told = fields.get(b"x-iristrack-time-left-ms")
+    if told is None:
+        return ASSUMED_WAIT_MS
+    if not _NUMBER.match(told):
+        raise Rejected(400, "X-Iristrack-Time-Left-Ms is no number")
+    return min(float(told), LONGEST_WAIT_MS)
+
+
+def _tokens(fields: dict[bytes, bytes]) -> tuple[int, int]:
+    match = _TOKENS.match(fields.get(b"x-iristrack-token-count", b""))
+    if match is None:
+        return 0, 0
+    return int(match[1]), int(match[2] or 0)
+
+
+def _parts(fields: dict[bytes, bytes]) -> tuple[Part, ...]:
+    try:
+        return parse_prefix(fields.get(b"x-iristrack-prompt-prefix", b""))
+    except MalformedPrefix:
+        return ()  # it is routed like a request without a key; the server judges the header
+
+
+def _last_event_id(fields: dict[bytes, bytes]) -> int | None:
+    told = fields.get(b"last-event-id", b"")
+    return int(told) if told.isdigit() and len(told) < 19 else None
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
--- /dev/null
+++ b/iristrack/duties/lease.py
@@ -0,0 +1,74 @@
+"""Whether a duty is held by this process, held by another, or vacant, by the monotonic clock alone.
+
+A holder renews by raising `renewals` in the register. Another process takes the duty for vacant once it has seen the
+same value for longer than the lease; the holder stops acting earlier, counted from when it began its last renewal, so
+that two holders are never active at once and never take turns within the lease.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from iristrack.wire.messages import DutyValue
+
+NS_PER_MS = 1_000_000
+ACT_MARGIN_NS = 700 * NS_PER_MS  # the holder stops acting so long before its lease ends
+CLAIM_MARGIN_NS = 400 * NS_PER_MS  # and others wait so much longer
+RENEW_SHARE = 0.3  # of the lease between two renewals
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """A duty as this process holds it."""
+
+    fence: int
+    act_until: int  # ns
+
+
+class Lease:
+    """One duty, as one process sees it."""
+
+    def __init__(self, node: str, process: str, lease_ns: int) -> None:
+        """Nothing is known of the duty."""
+        self.node = node
+        self.process = process
+        self.lease_ns = lease_ns
+        self.holding: Holding | None = None
+        self._seen: DutyValue | None = None
+        self._seen_at: int | None = None
+
+    @property
+    def seen(self) -> DutyValue | None:
+        """The newest value of the duty that was seen."""
+        return self._seen
+
+    def saw(self, value: DutyValue | None, now: int) -> None:
+        """The register's value was read, or told of; a value that changed proves that its holder lives."""
+        if self._seen_at is None or value != self._seen:
+            if value is not None and self._seen is not None and value.sequence < self._seen.sequence:
+                return
+            self._seen = value
+            self._seen_at = now
+        if value is not None and (value.owner, value.process) != (self.node, self.process):
+            self.holding = None
+
+    def may_act(self, now: int) -> bool:
+        """May this process give an order now?"""
+        return self.holding is not None and now < self.holding.act_until
+
+    def wants_claim(self, now: int) -> bool:
+        """Is it time to claim the duty, or to renew it?"""
+        if self.holding is not None:
+            begun = self.holding.act_until - self.lease_ns + ACT_MARGIN_NS
+            return now >= begun + int(self.lease_ns * RENEW_SHARE)
+        if self._seen_at is None:
+            return False
+        if self._seen is None or (self._seen.owner, self._seen.process) == (self.node, self.process):
+            return True
+        return now >= self._seen_at + self.lease_ns + CLAIM_MARGIN_NS
+
+    def claimed(self, value: DutyValue, began: int, now: int) -> None:
+        """A claim or renewal that began at `began` has been committed."""
+        self._seen = value
+        self._seen_at = now
+        self.holding = Holding(value.fence, began + self.lease_ns - ACT_MARGIN_NS)
--- a/iristrack/net/discovery.py
+++ b/iristrack/net/discovery.py
@@ -25,9 +25,9 @@
 
 from iristrack import interface as mi
 from iristrack.config import Address, read_address
-from iristrack.net import http
-from iristrack.net.links import Link, connect
-from iristrack.net.scheduler import Cancelled, Scheduler, Task, clock
+from iristrack.http1 import messages as http
+from iristrack.http1.connection import Link, connect
+from iristrack.runtime.scheduler import Cancelled, Scheduler, Task, clock
 
 MS = mi.NS_PER_MS
 WATCH_WAIT_MS = 2000  # how long discovery may hold a watch
--- a/iristrack/net/door.py
+++ b/iristrack/net/door.py
@@ -13,8 +13,8 @@
 
 from iristrack import interface as mi
 from iristrack.config import Address
-from iristrack.net import http
-from iristrack.net.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock, listening, send_all
+from iristrack.http1 import messages as http
+from iristrack.runtime.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock, listening, send_all
 
 MOST_CALLERS = 32  # at once; with the listener, under DOOR_DESCRIPTORS
 CALL_NS = 2 * mi.NS_PER_S  # a call must be whole, and its answer taken, so long after connecting
--- a/iristrack/net/front.py
+++ b/iristrack/net/front.py
@@ -19,8 +19,18 @@
 
 from iristrack import interface as mi
 from iristrack.config import Address
-from iristrack.net import handover, http
-from iristrack.net.scheduler import (
+from iristrack.http1 import messages as http
+from iristrack.net import handover
+from iristrack.net.sidecar import (
+    STALL_NS,
+    Answer,
+    ClientLeft,
+    ClientRequest,
+    Ending,
+    Sidecar,
+    most_connections,
+)
+from iristrack.runtime.scheduler import (
     HANG_UP,
     READ,
     WRITE,
@@ -31,15 +41,6 @@
     listening,
     send_all,
 )
-from iristrack.net.sidecar import (
-    STALL_NS,
-    Answer,
-    ClientLeft,
-    ClientRequest,
-    Ending,
-    Sidecar,
-    most_connections,
-)
 
 IDLE_NS = 120 * mi.NS_PER_S  # a client's connection between requests is closed after so long,
 CROWDED_IDLE_NS = 2 * mi.NS_PER_S  # after so long where clients' connections are many,
--- a/iristrack/net/handover.py
+++ b/iristrack/net/handover.py
@@ -28,7 +28,7 @@
 
 from iristrack import interface as mi
 from iristrack.config import Address
-from iristrack.net.scheduler import Cancelled, Scheduler, clock
+from iristrack.runtime.scheduler import Cancelled, Scheduler, clock
 
 NAME = "iristrack-handover"
 ASK_S = 2.0  # the predecessor must have answered by then; the platform waits 6 s for the new process
--- a/iristrack/net/links.py
+++ b/iristrack/net/links.py
@@ -6,16 +6,15 @@
 
 from __future__ import annotations
 
-import errno
-import os
 import socket
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
 from iristrack import interface as mi
 from iristrack.config import Address
-from iristrack.net import http
-from iristrack.net.scheduler import READ, WRITE, Scheduler, clock, send_all
+from iristrack.http1 import messages as http
+from iristrack.http1.connection import Link, connect
+from iristrack.runtime.scheduler import Scheduler, clock
 
 IDLE_USED = 0.9  # a connection is retired after this share of the time that its server keeps it idle
 REST_NS = (
@@ -23,67 +22,6 @@
 )  # a second answer may follow the first by so long: nothing is asked on it before that
 SWEEP_NS = mi.NS_PER_S
 FORGET_NS = 10 * mi.NS_PER_S  # what drains or is gone is forgotten so long after its grace
-RECEIVE = 64 * 1024
-
-
-class Link:
-    """One connection to a pool server or to discovery."""
-
-    __slots__ = ("fd", "idle_since", "reader", "scheduler", "sock", "target")
-
-    def __init__(
-        self,
-        scheduler: Scheduler,
-        sock: socket.socket,
-        target: Target | None,
-        limit: int = http.LONGEST_BODY,
-        whole: int = http.MAX_BODY,
-    ) -> None:
-        """`target` is None for discovery's."""
-        self.scheduler = scheduler
-        self.sock = sock
-        self.fd = sock.fileno()
-        self.target = target
-        self.reader = http.Reader(response=True, limit=limit, whole=whole)
-        self.idle_since = 0
-
-    def write(self, data: bytes, deadline: int) -> None:
-        """Write it all."""
-        send_all(self.sock, data, lambda: self.scheduler.wait(self.fd, WRITE, deadline))
-
-    def read(self, deadline: int, hold_ns: int = 0) -> http.Message | None:
-        """The next message; None where it is a long one, or after `hold_ns` one that does not tell its length."""
-        reader, until = self.reader, deadline
-        while True:
-            try:
-                self.scheduler.wait(self.fd, READ, until)
-            except TimeoutError:
-                if until < deadline:
-                    return None
-                raise
-            try:
-                data = self.sock.recv(RECEIVE)
-            except BlockingIOError:
-                continue
-            message = reader.feed(data) if data else reader.end()
-            if message is not None:
-                return message
-            if reader.long:
-                return None
-            if not data:
-                raise ConnectionResetError("closed before an answer")
-            if hold_ns and until == deadline and reader.unmeasured and reader.head.status == 200:
-                until = min(deadline, clock() + hold_ns)
-
-    def quiet(self) -> bool:
-        """Is there neither an end nor unasked bytes on it?"""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
 
 
 class Target:
@@ -105,32 +43,15 @@
     return address, entry.started_ns, entry.zone, entry.cell
 
 
-def connect(scheduler: Scheduler, address: Address, deadline: int) -> socket.socket:
-    """A connection that is up; raises `OSError` where it does not come up in time."""
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
-    try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = sock.connect_ex(address)
-        if code == errno.EINPROGRESS:
-            scheduler.wait(sock.fileno(), WRITE, deadline)
-            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            raise OSError(code, os.strerror(code))
-        return sock
-    except BaseException:
-        sock.close()
-        raise
-
-
 class Links:
     """All connections to pool servers of one sidecar."""
 
-    def __init__(self, scheduler: Scheduler, idle_ns: int, most: int) -> None:
-        """`idle_ns` is how long servers keep an idle one, `most` how many may be open."""
+    def __init__(self, scheduler: Scheduler, idle_ns: int, most: int, whole: int = http.MAX_BODY) -> None:
+        """`idle_ns` is how long servers keep an idle one, `most` how many may be open, `whole` is for `http.Reader`."""
         self.scheduler = scheduler
         self.idle_ns = int(idle_ns * IDLE_USED)
         self.most = most
+        self.whole = whole
         self.open = 0
         self.targets: dict[str, Target] = {}
         self.connect: Callable[..., socket.socket] = connect
@@ -173,7 +94,8 @@
         self.opened += 1
         self.open += 1
         try:
-            return Link(self.scheduler, self.connect(self.scheduler, target.address, deadline), target)
+            sock = self.connect(self.scheduler, target.address, deadline)
+            return Link(self.scheduler, sock, target, whole=self.whole)
         except BaseException:
             self.open -= 1
             raise
--- a/iristrack/net/sidecar.py
+++ b/iristrack/net/sidecar.py
@@ -24,10 +24,11 @@
 from iristrack import interface as mi
 from iristrack.balance import Balancer
 from iristrack.config import REPORT_NAMES, Address, Config
-from iristrack.net import http
+from iristrack.http1 import messages as http
+from iristrack.http1.connection import RECEIVE, Link
 from iristrack.net.discovery import Discovery, Entries
-from iristrack.net.links import RECEIVE, Link, Links, Target
-from iristrack.net.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock, send_all
+from iristrack.net.links import Links, Target
+from iristrack.runtime.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock, send_all
 
 MS = mi.NS_PER_MS
 REPLY_MARGIN_NS = 8 * MS  # what is kept back of a client's patience, for the answer's own way
--- /dev/null
+++ b/iristrack/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which server gets a request: ranking by hash, own requests in flight, ready lists. No I/O."""
--- /dev/null
+++ b/iristrack/placement/engines.py
@@ -0,0 +1,22 @@
+"""Model servers: which hold the request's model, under which revision, and under which salt prompts are kept there."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from iristrack.placement.servers import Server
+
+
+def cache_salt(model: str, revision: int, isolated_tenant: str | None) -> str:
+    """The text under which a server keeps and finds prompt parts.
+
+    It names the model and the revision of the weights that made the parts, so that no part outlives its weights, and
+    the tenant where that is isolated, so that no other tenant's request finds them.
+    """
+    wall = "" if isolated_tenant is None else f"/{isolated_tenant}"
+    return f"{model}.{revision}{wall}"
+
+
+def serving(servers: Iterable[Server], model: str, least_revision: int) -> list[Server]:
+    """The servers that hold the model with weights of that revision or a newer one."""
+    return [server for server in servers if server.revisions.get(model, 0) >= max(1, least_revision)]
--- /dev/null
+++ b/iristrack/placement/servers.py
@@ -0,0 +1,124 @@
+"""The servers as one sidecar knows them: the platform's list, its own outcomes and its own requests in flight."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from iristrack.placement.ranking import hash64
+
+NS_PER_MS = 1_000_000
+NS_PER_S = 1_000 * NS_PER_MS
+FIRST_BACKOFF_NS = 400 * NS_PER_MS  # a server that failed is left alone for so long,
+LAST_BACKOFF_NS = 4 * NS_PER_S  # twice as long after each further failure, up to this
+REJECTED_BACKOFF_NS = 250 * NS_PER_MS  # and one that turned a request away
+
+
+@dataclass(frozen=True, slots=True)
+class ListedServer:
+    """One entry of the platform's list."""
+
+    instance_id: str
+    service: str
+    address: str  # ip:port
+    zone: str
+    ready: bool  # false while it drains
+    capacity: int
+    models: tuple[tuple[str, int], ...] = ()  # (label, revision of its weights)
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """One incarnation of a server."""
+
+    listed: ListedServer
+    hash: int
+    revisions: dict[str, int]  # of each model, the newest that was seen
+    inflight: int = 0  # this sidecar's own requests there
+    inflight_tokens: int = 0  # what these may hold of its memory
+    avoid_until: int = 0  # ns; it failed or turned a request away
+    failures: int = 0  # in a row
+    gone: bool = False  # the platform's list does not hold it any more
+    kept_models: set[str] = field(default_factory=set)
+
+    @property
+    def instance_id(self) -> str:
+        """The incarnation's id."""
+        return self.listed.instance_id
+
+    @property
+    def address(self) -> str:
+        """ip:port."""
+        return self.listed.address
+
+    def usable(self, now: int) -> bool:
+        """May new requests be sent to it?"""
+        return self.listed.ready and not self.gone and now >= self.avoid_until
+
+    def began(self, tokens: int) -> None:
+        """A request was sent to it."""
+        self.inflight += 1
+        self.inflight_tokens += tokens
+
+    def ended(self, tokens: int) -> None:
+        """That request ended, in whatever way."""
+        self.inflight -= 1
+        self.inflight_tokens -= tokens
+
+    def succeeded(self) -> None:
+        """An answer came: what was held against it is forgotten."""
+        self.failures = 0
+        self.avoid_until = 0
+
+    def failed(self, now: int) -> None:
+        """A connection broke, did not come up or fell silent."""
+        backoff = min(LAST_BACKOFF_NS, FIRST_BACKOFF_NS << min(self.failures, 8))
+        self.failures += 1
+        self.avoid_until = max(self.avoid_until, now + backoff)
+
+    def rejected(self, now: int) -> None:
+        """It turned a request away."""
+        self.avoid_until = max(self.avoid_until, now + REJECTED_BACKOFF_NS)
+
+    def saw_revision(self, model: str, revision: int) -> None:
+        """An answer, a report or the list told the revision of a model's weights; they never go back."""
+        if revision > self.revisions.get(model, 0):
+            self.revisions[model] = revision
+
+
+class ServerTable:
+    """All servers by instance, and by service."""
+
+    def __init__(self) -> None:
+        """Nothing is known."""
+        self.servers: dict[str, Server] = {}
+        self.by_service: dict[str, list[Server]] = {}
+        self.known = False  # has a list been taken?
+
+    def take_list(self, entries: Iterable[ListedServer]) -> list[Server]:
+        """Follow a whole list; the servers that it names no more."""
+        self.known = True
+        named = {}
+        for entry in entries:
+            named[entry.instance_id] = self._follow(entry)
+        gone = [server for name, server in self.servers.items() if name not in named]
+        for server in gone:
+            server.gone = True
+        self.servers = named
+        self.by_service = {}
+        for server in named.values():
+            self.by_service.setdefault(server.listed.service, []).append(server)
+        return gone
+
+    def _follow(self, entry: ListedServer) -> Server:
+        server = self.servers.get(entry.instance_id)
+        if server is None:
+            server = Server(entry, hash64(entry.instance_id), dict(entry.models))
+        server.listed = entry
+        for model, revision in entry.models:
+            server.saw_revision(model, revision)
+        return server
+
+    def of_service(self, service: str) -> list[Server]:
+        """The listed servers of a service."""
+        return self.by_service.get(service, [])
--- /dev/null
+++ b/iristrack/platform_api/server_list.py
@@ -0,0 +1,67 @@
+"""The platform's list of servers: reading its pages, and fetching it whole."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+from iristrack.http1 import messages as http
+from iristrack.http1.fetching import Caller
+from iristrack.placement.servers import ListedServer
+
+MOST_PAGES = 200
+READY = "ready"
+
+
+class ListUnavailable(Exception):
+    """The list could not be had whole."""
+
+
+class MalformedList(ListUnavailable):
+    """A page that cannot be read."""
+
+
+def read_page(body: bytes) -> tuple[list[ListedServer], str | None]:
+    """The entries of a page and the token of the next one; raises `MalformedList`."""
+    try:
+        page = json.loads(body)
+        entries = [_entry(row) for row in page["servers"]]
+        token = page.get("next_token")
+    except (ValueError, KeyError, TypeError, AttributeError) as fault:
+        raise MalformedList(f"{type(fault).__name__}: {fault}") from fault
+    if token is not None and not isinstance(token, str):
+        raise MalformedList("next_token is no text")
+    return entries, token or None
+
+
+def _entry(row: dict[str, Any]) -> ListedServer:
+    models = tuple((str(model["label"]), int(model["revision"])) for model in row.get("model_list") or ())
+    return ListedServer(
+        instance_id=str(row["instance_id"]),
+        service=str(row["target"]),
+        address=str(row["address"]),
+        zone=str(row.get("zone", "")),
+        ready=row.get("phase", READY) == READY,
+        capacity=int(row.get("capacity", 0)),
+        models=models,
+    )
+
+
+def fetch_list(caller: Caller, deadline: int) -> list[ListedServer]:
+    """All pages; raises `ListUnavailable` where one is missing, for half a list would tell of servers that are gone."""
+    entries: list[ListedServer] = []
+    target = b"/instances"
+    for _ in range(MOST_PAGES):
+        try:
+            answer = caller.call(b"GET", target, b"", b"", deadline)
+        except (OSError, http.Malformed, http.Truncated) as fault:
+            raise ListUnavailable(str(fault)) from fault
+        if answer.head.status != 200:
+            raise ListUnavailable(f"status {answer.head.status}")
+        page, token = read_page(answer.body)
+        entries += page
+        if token is None:
+            return entries
+        target = b"/instances?page_token=" + quote(token, safe="").encode()
+    raise ListUnavailable("the pages have no end")
--- a/iristrack/records.py
+++ b/iristrack/records.py
@@ -6,14 +6,13 @@
 from __future__ import annotations
 
 from collections import deque
-from hashlib import blake2b
 from typing import Any
 
 from iristrack import interface as mi
 from iristrack.limits.cold import ColdBudget
 from iristrack.limits.crowd import Crowd
+from iristrack.placement.ranking import hash64
 
-MASK = (1 << 64) - 1
 FIRST_BACKOFF_NS = mi.NS_PER_S // 2  # of an ejection
 OUT, MAYBE_RAN, BROKE, DID_NOT_RUN = range(4)  # who broke may have run as well
 
@@ -134,18 +133,6 @@
         return bool(self.attempts) and self.attempts[-1].state == OUT
 
 
-def hash64(text: str) -> int:
-    """64 bits of BLAKE2b."""
-    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
-def mix64(x: int) -> int:
-    """Spread the bits of a 64-bit number (the finaliser of SplitMix64)."""
-    x = ((x ^ (x >> 30)) * 0xBF58476D1CE4E5B9) & MASK
-    x = ((x ^ (x >> 27)) * 0x94D049BB133111EB) & MASK
-    return x ^ (x >> 31)
-
-
 def learned_of(server: Any, now: int) -> dict:
     """What `recall` needs of a server, as plain values; a limit is told in first guesses, times as what is left."""
     suspicions = {
--- /dev/null
+++ b/iristrack/register/__init__.py
@@ -0,0 +1,48 @@
+"""Compare-and-set registers (CASPaxos, Rystsov): one value per key, no log and no leader.
+
+Any proposer changes a value, by expected value, in two rounds at a majority of the core members. The classes here only
+decide: they read no clock and no socket, and write no file. Times are in nanoseconds.
+"""
+
+from iristrack.register.acceptor import RECOVERY_KEY, Acceptor, Cell, CellRecord, Outcome
+from iristrack.register.effects import Effect, Finished, SendTo, SetTimer
+from iristrack.register.identity import ProposerIdentity
+from iristrack.register.proposer import (
+    Change,
+    Committed,
+    Overtaken,
+    Pace,
+    Proposer,
+    ProposerResult,
+    Refuse,
+    Rejected,
+    Unavailable,
+    Unchanged,
+)
+from iristrack.register.recovery import Recovered, Recovery, RecoveryPace
+
+__all__ = [
+    "RECOVERY_KEY",
+    "Acceptor",
+    "Cell",
+    "CellRecord",
+    "Change",
+    "Committed",
+    "Effect",
+    "Finished",
+    "Outcome",
+    "Overtaken",
+    "Pace",
+    "Proposer",
+    "ProposerIdentity",
+    "ProposerResult",
+    "Recovered",
+    "Recovery",
+    "RecoveryPace",
+    "Refuse",
+    "Rejected",
+    "SendTo",
+    "SetTimer",
+    "Unavailable",
+    "Unchanged",
+]
--- /dev/null
+++ b/iristrack/register/acceptor.py
@@ -0,0 +1,155 @@
+"""The acceptor of the compare-and-set registers: what one core member has promised and accepted, per key.
+
+It writes nothing itself. Each message gives an `Outcome`: the record to be written, and the reply. The host releases
+replies in the order in which it got them, each only after its record, and all records before it, are synced. The state
+in memory runs ahead of the disk, so that the next message is judged by it.
+
+Incarnations
+------------
+An acceptor whose disk was lost comes back under another incarnation. What it tells of itself in its answers is more:
+`Acceptor.incarnation` also changes, and never back, whenever it helps another acceptor to recover (it promises a ballot
+on `RECOVERY_KEY`). A proposer counts a promise only if the acceptor tells the same incarnation as before the proposer
+sent its `Prepare`s; so no proposer can join a promise from before a disk was lost with one given after its recovery had
+passed by. `recovery.py` has the whole argument.
+
+Accepts
+-------
+`Accept.incarnation` is the one told in the promise. Where it differs from the present one, the accept is refused: the
+promise may have been forgotten. Where it is empty (this acceptor's promise was not counted) the ballot alone decides.
+That is safe after the loss of a disk: a recovered acceptor has promised a ballot above each one whose first round had
+ended before the disk was lost, so it refuses these; and a first round that ended later counted no forgotten promise.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from iristrack.wire.messages import NO_BALLOT, Accept, Accepted, Ballot, Prepare, Promise
+
+RECOVERY_KEY = ""  # no register: recovering acceptors announce themselves by a Prepare on it
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """What an acceptor holds of one key; `value` means nothing while `accepted` is NO_BALLOT."""
+
+    promised: Ballot = NO_BALLOT
+    accepted: Ballot = NO_BALLOT
+    value: bytes = b""
+
+
+EMPTY_CELL = Cell()
+
+
+@dataclass(frozen=True, slots=True)
+class CellRecord:
+    """The durable form of a cell; of several records of one key the last one written stands."""
+
+    key: str
+    promised: Ballot
+    accepted: Ballot
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The record to write, if any, and the reply to release once it and all earlier records are synced."""
+
+    record: CellRecord | None
+    reply: Promise | Accepted
+
+
+class Acceptor:
+    """The votes of one core member.
+
+    A non-voting acceptor grants nothing and answers with `promised` = NO_BALLOT, which a proposer takes for no answer:
+    no voting acceptor refuses a ballot because of NO_BALLOT. Keys outside `keys` are answered in the same way, since a
+    recovery could not have read them.
+    """
+
+    def __init__(
+        self, name: str, incarnation: str, cells: dict[str, Cell], voting: bool, *, keys: Iterable[str]
+    ) -> None:
+        """Take the cells as read from the disk.
+
+        `voting` is false for an empty disk, until its recovery is written; only the first start of a whole new group
+        votes with empty disks. `keys` are all registers that exist.
+        """
+        self.name = name
+        self.voting = voting
+        self._disk_incarnation = incarnation
+        self._cells = dict(cells)
+        self._keys = frozenset(keys) | {RECOVERY_KEY}
+
+    @property
+    def incarnation(self) -> str:
+        """What answers tell: the disk's incarnation and the last recovery of another that it has helped."""
+        helped = self.cell(RECOVERY_KEY).promised
+        if helped == NO_BALLOT:
+            return self._disk_incarnation
+        return f"{self._disk_incarnation}/{helped.round}/{helped.proposer}"
+
+    def cell(self, key: str) -> Cell:
+        """Return what is held of the key."""
+        return self._cells.get(key, EMPTY_CELL)
+
+    def handle_prepare(self, prepare: Prepare) -> Outcome:
+        """Promise the ballot unless a higher one was promised; the same one is promised again."""
+        if not self._votes_on(prepare.key):
+            return Outcome(None, self._promise(prepare, EMPTY_CELL, granted=False))
+        cell = self.cell(prepare.key)
+        if prepare.ballot < cell.promised or prepare.ballot == NO_BALLOT:
+            return Outcome(None, self._promise(prepare, cell, granted=False))
+        cell = Cell(prepare.ballot, cell.accepted, cell.value)
+        record = self._advance(prepare.key, cell)
+        return Outcome(record, self._promise(prepare, cell, granted=True))
+
+    def handle_accept(self, accept: Accept) -> Outcome:
+        """Accept the value unless a higher ballot was promised or the promise was another incarnation's."""
+        if accept.key == RECOVERY_KEY or not self._votes_on(accept.key):
+            return Outcome(None, self._accepted(accept, EMPTY_CELL, granted=False))
+        cell = self.cell(accept.key)
+        if not self._may_accept(accept, cell):
+            return Outcome(None, self._accepted(accept, cell, granted=False))
+        cell = Cell(accept.ballot, accept.ballot, accept.value)
+        record = self._advance(accept.key, cell)
+        return Outcome(record, self._accepted(accept, cell, granted=True))
+
+    def write_failed(self) -> None:
+        """Stop voting until the state is read from the disk again; replies not yet released must be dropped."""
+        self.voting = False
+
+    def _votes_on(self, key: str) -> bool:
+        return self.voting and key in self._keys
+
+    def _may_accept(self, accept: Accept, cell: Cell) -> bool:
+        if accept.ballot < cell.promised or accept.ballot == NO_BALLOT:
+            return False
+        return accept.incarnation in ("", self.incarnation)
+
+    def _advance(self, key: str, cell: Cell) -> CellRecord:
+        self._cells[key] = cell
+        return CellRecord(key, cell.promised, cell.accepted, cell.value)
+
+    def _promise(self, prepare: Prepare, cell: Cell, *, granted: bool) -> Promise:
+        return Promise(
+            call=prepare.call,
+            key=prepare.key,
+            acceptor=self.name,
+            incarnation=self.incarnation,
+            granted=granted,
+            promised=cell.promised,
+            accepted=cell.accepted,
+            value=cell.value,
+        )
+
+    def _accepted(self, accept: Accept, cell: Cell, *, granted: bool) -> Accepted:
+        return Accepted(
+            call=accept.call,
+            key=accept.key,
+            acceptor=self.name,
+            incarnation=self.incarnation,
+            granted=granted,
+            promised=cell.promised,
+        )
--- /dev/null
+++ b/iristrack/register/recovery.py
@@ -0,0 +1,200 @@
+"""The recovery of an acceptor whose disk came back empty, or whose machine was replaced under the same name.
+
+Two rounds, both at N // 2 + 1 *other* voting members (N counts all members, this one too):
+
+1. Announce: a `Prepare` on `RECOVERY_KEY`. Each member that grants it tells another incarnation from then on.
+2. Read: a `Prepare` on each key at the members that granted the first round, with a ballot above all that they have
+   promised. A promise counts if the member tells the incarnation that it told in round 1.
+
+For each key this is the first round of an ordinary change with ballot b, and the acceptor ends it by accepting, alone,
+the value of the highest accepted ballot under b. It holds (promised b, accepted b), not (b, the ballot it found): it
+must not seem to have voted for a proposal that it had never accepted. When the records of all keys are synced, it
+votes. After a crash before that it starts again as an empty one, under another incarnation and proposer name.
+
+Why no acknowledged value is lost
+---------------------------------
+Let A lose its disk at time w, and R be the members that granted its second round for a key. Take a proposal with ballot
+p whose first round ended (ever) at the quorum Q. Q without A has at least N // 2 members, R has N // 2 + 1, there are
+N - 1 others: some member B is in both.
+
+*Forgotten promises.* Let the old A's promise be counted in Q. If B promised p before it granted b, then b > p. If it
+promised p after, it had by then granted the announcement, which came after w, hence after A's promise, hence after the
+proposer sent its `Prepare`s: B tells another incarnation than any that the proposer can have known at that time, and
+B's promise is not counted. If B itself lost its disk after it promised p, it has recovered (only voting members grant),
+and the same argument, taken in the order in which recoveries end, gives B a promise above p; if it lost its disk after
+it granted b, its incarnation is another one as well. So b > p always: A keeps every promise that counts.
+
+*Half-done accept rounds from before the loss.* If the first round of p had ended before w, then b > p, by the same
+argument for any Q. So the new A refuses an `Accept` of p, and so does every member of R from its grant on.
+
+*Acknowledgements of the old incarnation.* Let p be chosen by the accept quorum S, with the old A's vote. The first
+round of p ended before A accepted, so b > p. S without A meets R in some member C. C accepted p before it granted b
+(after that it refuses), so A read p or a later proposal, and it is by the usual induction over ballots that every later
+proposal descends from p. A then holds it under b > p, and any proposer that counts A's promise is told of it.
+
+Since A's own acceptance is an ordinary proposal under b, the argument holds for the registers as a whole: any number of
+losses one after another, and (N - 1) // 2 at once.
+
+What it cannot cover: more members than that without their disks at once (then too few voters are left to recover from,
+and the acceptors stay non-voting until an operator decides), and keys that are not in `keys`.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from iristrack.register.acceptor import RECOVERY_KEY, CellRecord
+from iristrack.register.effects import Effect, Finished, SendTo, SetTimer
+from iristrack.register.identity import ProposerIdentity
+from iristrack.wire.messages import NO_BALLOT, Ballot, Prepare, Promise
+
+MILLISECOND = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """All records to write; once they are synced, an acceptor made of them may vote."""
+
+    records: tuple[CellRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveryPace:
+    """How long to wait for answers (nanoseconds) before all unread keys are tried again."""
+
+    first_wait_ns: int = 500 * MILLISECOND
+    longest_wait_ns: int = 8_000 * MILLISECOND
+
+
+@dataclass(slots=True)
+class _Read:
+    """The read of one key under one ballot."""
+
+    key: str
+    ballot: Ballot
+    promises: dict[str, Promise] = field(default_factory=dict)
+
+
+class Recovery:
+    """One recovery of one acceptor; it has no deadline and goes on until it has finished."""
+
+    def __init__(
+        self,
+        acceptor: str,
+        identity: ProposerIdentity,
+        members: tuple[str, ...],
+        keys: tuple[str, ...],
+        rng: random.Random,
+        pace: RecoveryPace | None = None,
+    ) -> None:
+        """Prepare the recovery; `members` are all members with this one, `keys` all registers that exist.
+
+        Raises ValueError where the other members are too few to recover from.
+        """
+        self.others = tuple(member for member in members if member != acceptor)
+        self.quorum = len(members) // 2 + 1
+        if len(self.others) < self.quorum:
+            raise ValueError("too few other members to recover from")
+        self._identity = identity
+        self._keys = keys
+        self._rng = rng
+        self._pace = pace or RecoveryPace()
+        self._wait_ns = self._pace.first_wait_ns
+        self._due_ns = 0
+        self._announcement = NO_BALLOT
+        self._announce_call = 0
+        self._incarnations: dict[str, str] = {}  # of the members that granted the announcement
+        self._reads: dict[int, _Read] = {}  # by call
+        self._records: dict[str, CellRecord] = {}
+        self._finished = False
+
+    def start(self, now: int) -> list[Effect]:
+        """Announce the recovery to the other members."""
+        return self._announce(now)
+
+    def handle(self, message: Promise, now: int) -> list[Effect]:
+        """Take an answer; one of another call is ignored."""
+        if self._finished or message.acceptor not in self.others:
+            return []
+        if not message.granted and message.promised == NO_BALLOT:
+            return []  # it does not vote
+        if message.call == self._announce_call:
+            return self._handle_announced(message, now)
+        read = self._reads.get(message.call)
+        if read is None:
+            return []
+        return self._handle_read(message, read)
+
+    def on_timer(self, now: int) -> list[Effect]:
+        """Start again with the keys that are not read; a timer that was replaced does nothing."""
+        if self._finished or now < self._due_ns:
+            return []
+        self._wait_ns = min(2 * self._wait_ns, self._pace.longest_wait_ns)
+        return self._announce(now)
+
+    def _announce(self, now: int) -> list[Effect]:
+        self._incarnations = {}
+        self._reads = {}
+        self._announce_call = self._identity.next_call()
+        self._announcement = self._identity.next_ballot(RECOVERY_KEY)
+        prepare = Prepare(self._announce_call, RECOVERY_KEY, self._announcement)
+        effects: list[Effect] = [SendTo(member, prepare) for member in self.others]
+        effects.append(self._set_timer(now))
+        return effects
+
+    def _handle_announced(self, promise: Promise, now: int) -> list[Effect]:
+        if not promise.granted:
+            self._identity.saw(RECOVERY_KEY, promise.promised)
+            return self._announce(now)
+        if len(self._incarnations) >= self.quorum:
+            return []  # the reads are under way at those that were first
+        self._incarnations[promise.acceptor] = promise.incarnation
+        if len(self._incarnations) < self.quorum:
+            return []
+        return self._read_all()
+
+    def _read_all(self) -> list[Effect]:
+        effects: list[Effect] = []
+        for key in self._keys:
+            if key not in self._records:
+                effects.extend(self._read(key))
+        return effects or self._finish_if_complete()
+
+    def _read(self, key: str) -> list[Effect]:
+        call = self._identity.next_call()
+        read = _Read(key, self._identity.next_ballot(key))
+        self._reads[call] = read
+        return [SendTo(member, Prepare(call, key, read.ballot)) for member in self._incarnations]
+
+    def _handle_read(self, promise: Promise, read: _Read) -> list[Effect]:
+        self._identity.saw(read.key, promise.promised)
+        self._identity.saw(read.key, promise.accepted)
+        if not promise.granted:
+            del self._reads[promise.call]
+            return self._read(read.key)
+        if self._incarnations.get(promise.acceptor) != promise.incarnation:
+            return []  # the timer starts again
+        read.promises[promise.acceptor] = promise
+        if len(read.promises) < self.quorum:
+            return []
+        del self._reads[promise.call]
+        self._records[read.key] = self._adopt(read)
+        return self._finish_if_complete()
+
+    def _adopt(self, read: _Read) -> CellRecord:
+        newest = max(read.promises.values(), key=lambda promise: promise.accepted)
+        if newest.accepted == NO_BALLOT:
+            return CellRecord(read.key, read.ballot, NO_BALLOT, b"")
+        return CellRecord(read.key, read.ballot, read.ballot, newest.value)
+
+    def _finish_if_complete(self) -> list[Effect]:
+        if len(self._records) < len(self._keys):
+            return []
+        self._finished = True
+        announced = CellRecord(RECOVERY_KEY, self._announcement, NO_BALLOT, b"")
+        return [Finished(Recovered((announced, *self._records.values())))]
+
+    def _set_timer(self, now: int) -> SetTimer:
+        self._due_ns = now + self._wait_ns + self._rng.randint(0, self._wait_ns)
+        return SetTimer(self._due_ns)
--- /dev/null
+++ b/iristrack/relay/topics.py
@@ -0,0 +1,46 @@
+"""The newest value of each topic that a process knows, and what another process has missed."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from iristrack.wire.messages import Update, Version
+
+CONFIGURATION = "configuration"
+VERSIONS = "versions"
+MEMBERS = "members"
+WEIGHTS_DUTY = "duty/weights"
+BUSY_SERVERS = "busy-servers"
+REGISTERS = (CONFIGURATION, VERSIONS, MEMBERS, WEIGHTS_DUTY)
+MOST_TOPICS = 64
+
+
+class TopicTable:
+    """Topics by name; a higher sequence takes the place of a lower one, never the other way round."""
+
+    def __init__(self) -> None:
+        """Nothing is known."""
+        self._updates: dict[str, Update] = {}
+
+    def learn(self, update: Update) -> bool:
+        """Take an update; whether it was newer than what was known."""
+        known = self._updates.get(update.topic)
+        if known is not None and known.sequence >= update.sequence:
+            return False
+        if known is None and len(self._updates) >= MOST_TOPICS:
+            return False
+        self._updates[update.topic] = update
+        return True
+
+    def get(self, topic: str) -> Update | None:
+        """The newest update of a topic."""
+        return self._updates.get(topic)
+
+    def versions(self) -> tuple[Version, ...]:
+        """How new all topics are."""
+        return tuple(Version(update.topic, update.sequence) for update in self._updates.values())
+
+    def missed_by(self, known: Iterable[Version]) -> list[Update]:
+        """The updates that one who knows these versions has missed."""
+        sequences = {version.topic: version.sequence for version in known}
+        return [u for u in self._updates.values() if sequences.get(u.topic, -1) < u.sequence]
--- a/iristrack/net/scheduler.py
+++ b/iristrack/runtime/scheduler.py
@@ -9,13 +9,14 @@
 import heapq
 import select
 import socket
+import sys
 import time
+import traceback
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from greenlet import getcurrent, greenlet
-from loguru import logger
 
 HANG_UP = getattr(select, "POLLRDHUP", select.POLLHUP)
 READ = select.POLLIN | HANG_UP
@@ -59,6 +60,11 @@
     return sock
 
 
+def print_failure(text: str) -> None:
+    """Write what failed, and the exception under way, to standard error."""
+    print(f"{text}\n{traceback.format_exc()}", file=sys.stderr)
+
+
 class Cancelled(Exception):
     """Thrown into a task that was called off."""
 
@@ -103,7 +109,7 @@
             pass
         except Exception:
             # Guards the process: whatever goes wrong in one task ends that task only.
-            logger.exception("task {} failed", self.name)
+            self.scheduler.report_failure(f"task {self.name} failed")
         finally:
             self.done = True
 
@@ -123,8 +129,9 @@
 class Scheduler:
     """The loop. Everything runs in one thread; a task runs until it waits."""
 
-    def __init__(self) -> None:
-        """An idle loop."""
+    def __init__(self, report_failure: Callable[[str], None] = print_failure) -> None:
+        """An idle loop; `report_failure` is called while an exception that ended a task or a call is handled."""
+        self.report_failure = report_failure
         self.hub = getcurrent()
         self.current: Task | None = None
         self._poll = select.poll()
@@ -306,13 +313,12 @@
             self._call(call, args)
             timers = self._timers  # a sweep puts another list in its place
 
-    @staticmethod
-    def _call(call: Callable[..., None], args: tuple) -> None:
+    def _call(self, call: Callable[..., None], args: tuple) -> None:
         try:
             call(*args)
         except Exception:
             # Guards the process, as for tasks.
-            logger.exception("a call of the loop failed")
+            self.report_failure("a call of the loop failed")
 
 
 def _live(entry: tuple[int, int, Timer | Task]) -> bool:
--- /dev/null
+++ b/iristrack/settings.py
@@ -0,0 +1,344 @@
+"""Settings of a process: the JSON file that tells it its machine, addresses and bounds.
+
+The file's path stands in the environment variable named by `SETTINGS_VARIABLE`. Fields
+that are not known are ignored.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, fields
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from iristrack.configuration.findings import WHOLE_DOCUMENT, Finding, schema_findings
+
+SETTINGS_VARIABLE = "IRISTRACK_CONFIG"
+DEFAULT_BEAT_INTERVAL_MS = 1_200
+DEFAULT_PROVIDER_RATE_PER_S = 1.0
+MAX_PORT = 65_535
+
+Document = Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as ``HOST:PORT``."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class BoundAddresses:
+    """Where the process listens for callers from outside; None for what its role does not serve."""
+
+    front_http: Address | None = None
+    readiness: Address | None = None
+    control_plane: Address | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PortRange:
+    """Ports that are free for traffic between sidecars, both ends included."""
+
+    first: int
+    last: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessLimits:
+    """Resources of the process; None where not stated.
+
+    Attributes:
+        cpu_fraction: Share of one core.
+        cores: How many times as fast as one core that share runs.
+        memory_mb: Memory above which the process is killed, in megabytes.
+        max_fds: File descriptors.
+        link_mbps: Bandwidth of the machine's link, in megabits per second.
+        disk_mb: Room below the data folder, in megabytes.
+    """
+
+    cpu_fraction: float | None = None
+    cores: float | None = None
+    memory_mb: float | None = None
+    max_fds: int | None = None
+    link_mbps: float | None = None
+    disk_mb: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class FaultTolerance:
+    """Simultaneous losses during which every rule still holds.
+
+    Attributes:
+        machine_losses: Machines that are members of the quorum.
+        zones: Whole zones.
+        region_losses: Whole regions.
+    """
+
+    machine_losses: int = 0
+    zones: int = 0
+    region_losses: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RuleBounds:
+    """Figures of the rules in force; the unit of a time is the end of its name."""
+
+    seed_lag_s: float = 3
+    addr_reuse_s: float = 2
+    contact_ms: float = 3_000
+    ack_ms: float = 4_000
+    catch_up_s: float = 4
+    drain_ms: float = 3_000
+    grace_s: float = 8
+    loss_slack_ms: float = 200
+    config_apply_ms: float = 2_000
+    downgrade_slack_ms: float = 250
+    stretch_max_ms: float = 5_000
+    revoke_global: bool = False
+    revoke_ms: float = 5_000
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 52
+    recovery_s: float = 12
+    transit_ms: float = 120
+    again_s: float = 0
+    fence_checked: bool = True
+    lease_ms: float = 3_000
+    thaw_slack_ms: float = 300
+    version_ms: float = 8_000
+    version_fleet_ms: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ProviderInterface:
+    """The platform's list of servers.
+
+    Attributes:
+        address: Where the list is held.
+        rate_per_s: Calls per second accepted from all sidecars together.
+        duties: Duties that the platform hands out, as they stand in the file.
+        lag_ms: Age of the list.
+    """
+
+    address: Address
+    rate_per_s: float
+    duties: tuple[Any, ...]
+    lag_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What one process is told about itself and its surroundings.
+
+    Attributes:
+        node_name: Name of the machine.
+        role: Role of the process, as the deploy file names it.
+        machine_class: Class of the machine.
+        serves: Callers from outside that the role serves.
+        ip: IP number of the machine.
+        zone: Zone of the machine.
+        region: Region of the machine.
+        zones: Region of each zone.
+        bind: Addresses for what the role serves.
+        port_range: Ports free for traffic between sidecars.
+        seed_nodes: Control addresses of a few machines.
+        bootstrap: Whether the whole system starts for the first time, on empty disks.
+        quorum_member: Whether the machine counts in `fault_tolerance`.
+        limits: Resources of the process.
+        data_dir: Folder of the disk, or None where there is no disk.
+        discovery: How servers are found.
+        entry_kind: How clients enter.
+        beat_interval_ms: Interval between beats.
+        active_rules: Parts of the rules in force.
+        fault_tolerance: Losses during which the rules hold.
+        rule_bounds: Figures of the rules.
+        provider_api: The platform's list of servers, or None where there is none.
+    """
+
+    node_name: str
+    role: str
+    machine_class: str
+    serves: frozenset[str]
+    ip: str
+    zone: str
+    region: str
+    zones: Mapping[str, str]
+    bind: BoundAddresses
+    port_range: PortRange
+    seed_nodes: tuple[Address, ...]
+    bootstrap: bool
+    quorum_member: bool
+    limits: ProcessLimits
+    data_dir: str | None
+    discovery: str
+    entry_kind: str
+    beat_interval_ms: float
+    active_rules: frozenset[str]
+    fault_tolerance: FaultTolerance
+    rule_bounds: RuleBounds
+    provider_api: ProviderInterface | None
+
+
+def load_settings(path: str | Path) -> Result[Settings, tuple[Finding, ...]]:
+    """Read the settings file at a path and check it in full."""
+    try:
+        body = Path(path).read_bytes()
+    except OSError as error:
+        problem = f"cannot be read: {error.strerror or error}"
+        return Error((Finding(str(path), problem, f"name a readable file in {SETTINGS_VARIABLE}"),))
+    return read_settings(body)
+
+
+def read_settings(body: bytes) -> Result[Settings, tuple[Finding, ...]]:
+    """Read settings from the content of their file and check them in full."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return _refuse_document(f"cannot be read: {error}")
+    if not isinstance(document, dict):
+        return _refuse_document("is not an object")
+    findings = schema_findings(_SCHEMA, document)
+    if findings:
+        return Error(findings)
+    return Ok(_build_settings(document))
+
+
+def parse_address(text: str) -> Address:
+    """Read an address written as ``HOST:PORT``; raise `ValueError` for any other text."""
+    host, separator, port_text = text.rpartition(":")
+    if not (host and separator and port_text.isascii() and port_text.isdecimal()):
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    port = int(port_text)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"{text!r} has no port from 1 to {MAX_PORT}")
+    return Address(host, port)
+
+
+def _refuse_document(problem: str) -> Result[Settings, tuple[Finding, ...]]:
+    return Error((Finding(WHOLE_DOCUMENT, problem, "write one JSON object"),))
+
+
+def _check_address(field: str, value: object, error: Callable[[str, str], None]) -> None:
+    if not isinstance(value, str):
+        return
+    try:
+        parse_address(value)
+    except ValueError as fault:
+        error(field, str(fault))
+
+
+def _check_port_range(field: str, value: object, error: Callable[[str, str], None]) -> None:
+    if not isinstance(value, list) or len(value) != 2:
+        error(field, "is not a first and a last port")
+        return
+    first, last = value
+    if type(first) is not int or type(last) is not int or not 0 < first <= last <= MAX_PORT:
+        error(field, f"is not a rising pair of ports from 1 to {MAX_PORT}")
+
+
+def _rule_bound_schema() -> dict[str, dict[str, str]]:
+    return {
+        field.name: {"type": "boolean" if isinstance(field.default, bool) else "number"}
+        for field in fields(RuleBounds)
+    }
+
+
+_COUNT = {"type": "whole", "min": 0}
+_AMOUNT = {"type": "number", "min": 0, "nullable": True}
+_NAME = {"type": "string", "required": True}
+_NAMES = {"type": "list", "schema": {"type": "string"}}
+_ADDRESS = {"type": "string", "check_with": _check_address}
+_OPTIONAL_ADDRESS = {**_ADDRESS, "nullable": True}
+
+_SCHEMA = {
+    "node_name": _NAME,
+    "role": _NAME,
+    "machine_class": {"type": "string"},
+    "serves": _NAMES,
+    "ip": _NAME,
+    "zone": _NAME,
+    "region": {"type": "string"},
+    "zones": {"type": "dict", "valuesrules": {"type": "string"}},
+    "bind": {"type": "dict", "schema": {field.name: _OPTIONAL_ADDRESS for field in fields(BoundAddresses)}},
+    "port_range": {"required": True, "check_with": _check_port_range},
+    "seed_nodes": {"type": "list", "schema": _ADDRESS},
+    "bootstrap": {"type": "boolean"},
+    "quorum_member": {"type": "boolean"},
+    "limits": {"type": "dict", "schema": {field.name: _AMOUNT for field in fields(ProcessLimits)}},
+    "data_dir": {"type": "string", "nullable": True},
+    "discovery": {"type": "string"},
+    "entry_kind": {"type": "string"},
+    "beat_interval_ms": {"type": "number", "min": 1},
+    "active_rules": _NAMES,
+    "fault_tolerance": {"type": "dict", "schema": {field.name: _COUNT for field in fields(FaultTolerance)}},
+    "rule_bounds": {"type": "dict", "schema": _rule_bound_schema()},
+    "provider_api": {
+        "type": "dict",
+        "nullable": True,
+        "schema": {
+            "address": {**_ADDRESS, "required": True},
+            "rate_per_s": {"type": "number", "min": 0},
+            "duties": {"type": "list"},
+            "lag_ms": {"type": "number", "min": 0},
+        },
+    },
+}
+
+
+def _build_settings(document: Document) -> Settings:
+    return Settings(
+        node_name=document["node_name"],
+        role=document["role"],
+        machine_class=document.get("machine_class", ""),
+        serves=frozenset(document.get("serves", ())),
+        ip=document["ip"],
+        zone=document["zone"],
+        region=document.get("region", ""),
+        zones=MappingProxyType(dict(document.get("zones", {}))),
+        bind=_build_bind(document.get("bind", {})),
+        port_range=PortRange(*document["port_range"]),
+        seed_nodes=tuple(map(parse_address, document.get("seed_nodes", ()))),
+        bootstrap=document.get("bootstrap", False),
+        quorum_member=document.get("quorum_member", False),
+        limits=ProcessLimits(**_known_fields(ProcessLimits, document.get("limits", {}))),
+        data_dir=document.get("data_dir"),
+        discovery=document.get("discovery", ""),
+        entry_kind=document.get("entry_kind", ""),
+        beat_interval_ms=document.get("beat_interval_ms", DEFAULT_BEAT_INTERVAL_MS),
+        active_rules=frozenset(document.get("active_rules", ())),
+        fault_tolerance=FaultTolerance(**_known_fields(FaultTolerance, document.get("fault_tolerance", {}))),
+        rule_bounds=RuleBounds(**_known_fields(RuleBounds, document.get("rule_bounds", {}))),
+        provider_api=_build_provider(document.get("provider_api")),
+    )
+
+
+def _build_bind(row: Document) -> BoundAddresses:
+    known = _known_fields(BoundAddresses, row)
+    return BoundAddresses(**{name: parse_address(text) for name, text in known.items() if text is not None})
+
+
+def _build_provider(row: Document | None) -> ProviderInterface | None:
+    if row is None:
+        return None
+    return ProviderInterface(
+        address=parse_address(row["address"]),
+        rate_per_s=row.get("rate_per_s", DEFAULT_PROVIDER_RATE_PER_S),
+        duties=tuple(row.get("duties", ())),
+        lag_ms=row.get("lag_ms", 0),
+    )
+
+
+def _known_fields(model: type, row: Document) -> dict[str, Any]:
+    names = {field.name for field in fields(model)}
+    return {name: value for name, value in row.items() if name in names}
--- a/iristrack/store/files.py
+++ b/iristrack/store/files.py
@@ -19,6 +19,7 @@
     def create(self, path: str) -> int: ...  # noqa: D102
     def write(self, handle: int, data: bytes) -> int: ...  # noqa: D102
     def sync(self, handle: int) -> None: ...  # noqa: D102
+    def sync_data(self, handle: int) -> None: ...  # noqa: D102
     def close(self, handle: int) -> None: ...  # noqa: D102
     def rename(self, old: str, new: str) -> None: ...  # noqa: D102
     def remove(self, path: str) -> None: ...  # noqa: D102
@@ -61,6 +62,10 @@
         """Have it on the disk."""
         os.fsync(handle)
 
+    def sync_data(self, handle: int) -> None:
+        """Have its bytes and its length on the disk, if not its times."""
+        os.fdatasync(handle)
+
     def close(self, handle: int) -> None:
         """Close it."""
         os.close(handle)
--- a/iristrack/store/keeper.py
+++ b/iristrack/store/keeper.py
@@ -19,7 +19,7 @@
 from iristrack.store.writer import Writer
 
 if TYPE_CHECKING:
-    from iristrack.net.scheduler import Scheduler
+    from iristrack.runtime.scheduler import Scheduler
 
 EVERY_NS = mi.NS_PER_S
 LAST_WRITE_S = 0.5  # how long the end of the process waits for the last checkpoint
--- /dev/null
+++ b/iristrack/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between this project's own processes, and their Avro encoding."""
--- /dev/null
+++ b/iristrack/wire/connection.py
@@ -0,0 +1,151 @@
+"""A connection between two of this project's processes: frames out of a bounded queue, frames in to a handler."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from collections.abc import Callable
+
+from iristrack.runtime.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock, listening
+from iristrack.wire.codec import FrameReader, WireError, encode
+from iristrack.wire.messages import Message
+
+NS_PER_MS = 1_000_000
+RECEIVE = 64 * 1024
+MOST_QUEUED_BYTES = 32 << 20  # to a peer that does not read; over it the connection ends
+USER_TIMEOUT_MS = 2500  # unacknowledged data for so long ends a connection
+BACKLOG = 512
+
+
+class PeerConnection:
+    """One open connection. `on_message` runs in the reading task, `on_close` once, after the end."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        sock: socket.socket,
+        on_message: Callable[[PeerConnection, Message], None],
+        on_close: Callable[[PeerConnection], None],
+    ) -> None:
+        """Takes over `sock`, which is non-blocking and connected."""
+        self.scheduler = scheduler
+        self.sock = sock
+        self.on_message = on_message
+        self.on_close = on_close
+        self.closed = False
+        self.heard_at = clock()  # ns, when the peer last said anything
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._queue: deque[bytes] = deque()
+        self._queued = 0
+        self._reader = FrameReader()
+        set_peer_options(sock)
+        self._reading: Task = scheduler.spawn("peer reader", self._read)
+        self._writing: Task | None = None
+
+    @property
+    def skipped(self) -> int:
+        """Frames that could not be read."""
+        return self._reader.skipped
+
+    def send(self, message: Message) -> None:
+        """Queue a message; a peer that does not read for too long loses the connection."""
+        self.send_frame(encode(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Queue an encoded message."""
+        if self.closed:
+            return
+        self._queue.append(frame)
+        self._queued += len(frame)
+        self.sent_bytes += len(frame)
+        if self._queued > MOST_QUEUED_BYTES:
+            self.close()
+        elif self._writing is None:
+            self._writing = self.scheduler.spawn("peer writer", self._write)
+
+    def close(self) -> None:
+        """End the connection now."""
+        if self.closed:
+            return
+        self.closed = True
+        self._queue.clear()
+        self._reading.cancel()
+        if self._writing is not None:
+            self._writing.cancel()
+        self.on_close(self)
+
+    def _read(self) -> None:
+        try:
+            while not self.closed:
+                self.scheduler.wait(self.sock.fileno(), READ, None)
+                try:
+                    data = self.sock.recv(RECEIVE)
+                except BlockingIOError:
+                    continue
+                if not data:
+                    break
+                self.heard_at = clock()
+                self.received_bytes += len(data)
+                for message in self._reader.feed(data):
+                    self.on_message(self, message)
+        except (OSError, WireError, Cancelled):
+            pass
+        finally:
+            self.close()
+            self.sock.close()
+
+    def _write(self) -> None:
+        # The reading task waits on the descriptor, and the scheduler knows one waiter for each: a copy is waited on.
+        copy = self.sock.dup()
+        try:
+            while self._queue:
+                frame = self._queue.popleft()
+                self._queued -= len(frame)
+                self._send(copy, frame)
+            self._writing = None
+        except (OSError, Cancelled):
+            self._writing = None
+            self.close()
+        finally:
+            copy.close()
+
+    def _send(self, copy: socket.socket, frame: bytes) -> None:
+        view = memoryview(frame)
+        while view:
+            try:
+                view = view[copy.send(view) :]
+            except BlockingIOError:
+                self.scheduler.wait(copy.fileno(), WRITE, None)
+
+
+class PeerListener:
+    """Accepts inner connections and hands each socket on."""
+
+    def __init__(
+        self, scheduler: Scheduler, address: tuple[str, int], on_socket: Callable[[socket.socket], None]
+    ) -> None:
+        """Raises `OSError` where the address cannot be had."""
+        self.scheduler = scheduler
+        self.on_socket = on_socket
+        self.listener = listening(address, BACKLOG)
+        scheduler.watch(self.listener.fileno(), self._accept)
+
+    def _accept(self) -> None:
+        try:
+            sock, _ = self.listener.accept()
+        except OSError:
+            return
+        sock.setblocking(False)
+        self.on_socket(sock)
+
+    def stop(self) -> None:
+        """Accept no more."""
+        self.scheduler.unwatch(self.listener.fileno())
+        self.listener.close()
+
+
+def set_peer_options(sock: socket.socket) -> None:
+    """No delay for small messages, and an end where the peer's machine is silent."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- /dev/null
+++ b/iristrack/wire/dialing.py
@@ -0,0 +1,140 @@
+"""Keeping a connection to each of a set of addresses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from iristrack.http1.connection import connect
+from iristrack.runtime.scheduler import Cancelled, Scheduler, Task, clock
+from iristrack.wire.connection import PeerConnection
+from iristrack.wire.messages import Heartbeat, Hello, Message
+
+NS_PER_MS = 1_000_000
+CONNECT_NS = 1000 * NS_PER_MS
+FIRST_PAUSE_NS = 50 * NS_PER_MS
+LONGEST_PAUSE_NS = 1000 * NS_PER_MS
+HEARTBEAT_NS = 500 * NS_PER_MS
+SILENT_NS = 1600 * NS_PER_MS  # a peer that says nothing for so long is dialled anew
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """`ip:port` as a pair; raises `ValueError`."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+class Dialer:
+    """One connection to one address, dialled anew whenever it ends.
+
+    `on_open` is called with each new connection after `Hello` was sent; heartbeats are sent while it lasts.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        address: str,
+        hello: Callable[[], Hello],
+        heartbeat: Callable[[], Heartbeat],
+        on_open: Callable[[PeerConnection], None],
+        on_message: Callable[[PeerConnection, Message], None],
+    ) -> None:
+        """Starts with the next turn of the loop."""
+        self.scheduler = scheduler
+        self.address = address
+        self.hello = hello
+        self.heartbeat = heartbeat
+        self.on_open = on_open
+        self.on_message = on_message
+        self.connection: PeerConnection | None = None
+        self._stopped = False
+        self._task: Task = scheduler.spawn(f"dialer {address}", self._run)
+
+    @property
+    def connected(self) -> bool:
+        """Is there a connection on which the peer has spoken lately?"""
+        return self.connection is not None
+
+    def send(self, message: Message) -> bool:
+        """Send over the present connection; false where there is none."""
+        if self.connection is None:
+            return False
+        self.connection.send(message)
+        return True
+
+    def stop(self) -> None:
+        """Dial no more."""
+        self._stopped = True
+        if self.connection is not None:
+            self.connection.close()
+        self._task.cancel()
+
+    def _run(self) -> None:
+        pause = FIRST_PAUSE_NS
+        while not self._stopped:
+            try:
+                sock = connect(self.scheduler, parse_address(self.address), clock() + CONNECT_NS)
+            except OSError:
+                self.scheduler.sleep(pause)
+                pause = min(LONGEST_PAUSE_NS, pause * 2)
+                continue
+            pause = FIRST_PAUSE_NS
+            connection = PeerConnection(self.scheduler, sock, self.on_message, self._closed)
+            connection.send(self.hello())
+            self.connection = connection
+            self.on_open(connection)
+            try:
+                self._keep(connection)
+            except Cancelled:
+                connection.close()
+                raise
+            self.scheduler.sleep(pause)
+
+    def _keep(self, connection: PeerConnection) -> None:
+        """Send heartbeats until the connection ends or falls silent."""
+        while not connection.closed:
+            connection.send(self.heartbeat())
+            self.scheduler.sleep(HEARTBEAT_NS)
+            if clock() - connection.heard_at > SILENT_NS:
+                connection.close()
+
+    def _closed(self, connection: PeerConnection) -> None:
+        if self.connection is connection:
+            self.connection = None
+
+
+class DialerSet:
+    """A dialer for each address of a set that may change."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        hello: Callable[[], Hello],
+        heartbeat: Callable[[], Heartbeat],
+        on_open: Callable[[PeerConnection], None],
+        on_message: Callable[[PeerConnection, Message], None],
+    ) -> None:
+        """No address is dialled yet."""
+        self._make = lambda address: Dialer(scheduler, address, hello, heartbeat, on_open, on_message)
+        self.dialers: dict[str, Dialer] = {}
+
+    def follow(self, addresses: Iterable[str]) -> None:
+        """Dial just these."""
+        wanted = set(addresses)
+        for address in [a for a in self.dialers if a not in wanted]:
+            self.dialers.pop(address).stop()
+        for address in sorted(wanted - set(self.dialers)):
+            self.dialers[address] = self._make(address)
+
+    def send(self, address: str, message: Message) -> bool:
+        """Send to one; false where there is no connection."""
+        dialer = self.dialers.get(address)
+        return dialer is not None and dialer.send(message)
+
+    def broadcast(self, message: Message) -> None:
+        """Send to all that are connected."""
+        for dialer in self.dialers.values():
+            dialer.send(message)
+
+    def connected(self) -> int:
+        """How many have a connection."""
+        return sum(dialer.connected for dialer in self.dialers.values())
--- /dev/null
+++ b/iristrack/wire/messages.py
@@ -0,0 +1,212 @@
+"""The messages that the data plane and the control plane exchange over their inner connections.
+
+Each message is a frozen dataclass with a schema of the same name in `schemas/`. Durations are in milliseconds and are
+never dates: the time of day of two machines may differ.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Ballot:
+    """A proposer's round number; of two equal rounds the greater proposer name is the later ballot."""
+
+    round: int = 0
+    proposer: str = ""
+
+
+NO_BALLOT = Ballot()
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """The first message on each connection, in both directions: who speaks."""
+
+    node: str
+    role: str  # "dataplane" or "controlplane"
+    process: str  # drawn at each start of the process
+    zone: str
+    region: str
+    address: str  # ip:port at which the sender accepts inner connections
+    incarnation: str = ""  # of the acceptor; drawn anew when its disk is lost
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """First round: promise to take no ballot under this one, and tell what was accepted."""
+
+    call: int  # echoed by the answer
+    key: str
+    ballot: Ballot
+
+
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """Answer to `Prepare`."""
+
+    call: int
+    key: str
+    acceptor: str
+    incarnation: str
+    granted: bool
+    promised: Ballot  # the highest ballot promised; where `granted` is false, the one that forbade it
+    accepted: Ballot  # NO_BALLOT where nothing was accepted
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """Second round: accept the value under the ballot, if nothing higher was promised by this incarnation."""
+
+    call: int
+    key: str
+    ballot: Ballot
+    incarnation: str  # of the acceptor that promised; "" where the promise was not from this acceptor
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """Answer to `Accept`."""
+
+    call: int
+    key: str
+    acceptor: str
+    incarnation: str
+    granted: bool
+    promised: Ballot
+
+
+@dataclass(frozen=True, slots=True)
+class Version:
+    """How new the receiver's copy of one topic is."""
+
+    topic: str
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask for all topics, now and whenever they change; `known` spares what is there already."""
+
+    known: tuple[Version, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """The newest value of a topic; a receiver keeps the highest sequence that it has seen."""
+
+    topic: str
+    sequence: int
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """The sender is alive; `known` lets the receiver send what the sender has missed."""
+
+    node: str
+    process: str
+    count: int
+    known: tuple[Version, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One process as the watchers know it."""
+
+    node: str
+    role: str
+    process: str
+    zone: str
+    region: str
+    address: str
+    alive: bool
+    count: int  # raised by whoever changes `alive`; the higher one stands
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What the sender knows of the members."""
+
+    members: tuple[Member, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class TakenRevision:
+    """A configuration that was taken, by its number and the digest of its bytes."""
+
+    revision: int
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationValue:
+    """The register's value of the configuration; `taken` names the newest ones, this one last."""
+
+    sequence: int
+    revision: int
+    body: bytes
+    taken: tuple[TakenRevision, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ModelRevision:
+    """A revision of a model's weights."""
+
+    model: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsValue:
+    """The register's value of the named weights, the newest of each model."""
+
+    sequence: int
+    versions: tuple[ModelRevision, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class DutyValue:
+    """The register's value of a duty: who holds it, and the fencing token that its orders carry."""
+
+    sequence: int
+    owner: str  # node name
+    process: str
+    fence: int  # raised with each new holder, never reused
+    renewals: int  # raised by the holder while it goes on
+
+
+@dataclass(frozen=True, slots=True)
+class MembersValue:
+    """The register's value of the acceptors: the inner addresses (ip:port) of all that vote."""
+
+    sequence: int
+    members: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class BusyServers:
+    """Servers that are taking new weights just now: they turn requests away until they are done."""
+
+    instances: tuple[str, ...] = ()
+
+
+Message = (
+    Hello
+    | Prepare
+    | Promise
+    | Accept
+    | Accepted
+    | Subscribe
+    | Update
+    | Heartbeat
+    | View
+    | ConfigurationValue
+    | VersionsValue
+    | DutyValue
+    | MembersValue
+    | BusyServers
+)
--- /dev/null
+++ b/tests/prefix_index/test_answers.py
@@ -0,0 +1,139 @@
+"""The answers of holders, and how a cursor follows them."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from iristrack.prefix_index.answers import (
+    START,
+    Cursor,
+    EventsAnswer,
+    KeptEvent,
+    KeptPart,
+    ListAnswer,
+    MalformedAnswer,
+    advance,
+    parse_events,
+    parse_list,
+)
+
+EVENTS = (
+    b'{"epoch":77120,"next_token":120,"lost":false,"events":'
+    b'[[119,"+","s1","5c1e07a2",800,"daka510000"],[120,"-","s1","91bd3f06",128,"daka510000"]]}'
+)
+LIST = b'{"epoch":77120,"next_token":120,"owned":[["s1","5c1e07a2",800,"daka510000"]]}'
+FIRST = KeptEvent(119, True, "s1", "5c1e07a2", 800, "daka510000")
+SECOND = KeptEvent(120, False, "s1", "91bd3f06", 128, "daka510000")
+
+
+def test_the_protocols_examples() -> None:
+    assert parse_events(EVENTS) == EventsAnswer(77120, 120, False, (FIRST, SECOND))
+    assert parse_list(LIST) == ListAnswer(77120, 120, (KeptPart("s1", "5c1e07a2", 800, "daka510000"),))
+
+
+def test_events_are_put_in_order() -> None:
+    answer = json.loads(EVENTS)
+    answer["events"].reverse()
+    assert parse_events(json.dumps(answer).encode()).events == (FIRST, SECOND)
+
+
+def test_no_salt_is_the_text_that_all_share() -> None:
+    answer = json.loads(EVENTS)
+    answer["events"][0][2] = None
+    assert parse_events(json.dumps(answer).encode()).events[0].salt == ""
+
+
+@pytest.mark.parametrize("name", ["epoch", "next_token", "lost", "events"])
+@pytest.mark.parametrize("value", [None, "7", 1.5, -1, {}, 2**63, "absent"])
+def test_malformed_fields_of_events(name: str, value: Any) -> None:
+    answer = json.loads(EVENTS)
+    answer[name] = value
+    if value == "absent":
+        del answer[name]
+    with pytest.raises(MalformedAnswer):
+        parse_events(json.dumps(answer).encode())
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *[(0, value) for value in (None, "1", True, -1, 1.0, 2**63)],
+        *[(1, value) for value in (None, "", "*", 1, True, [])],
+        *[(2, value) for value in (1, [], "s" * 1025)],
+        *[(3, value) for value in (None, 1, "i" * 1025)],
+        *[(4, value) for value in (None, "1", True, -1, 1.0, 2**31)],
+        *[(5, value) for value in (None, 1, {})],
+    ],
+)
+def test_malformed_fields_of_an_event(field: int, value: Any) -> None:
+    answer = json.loads(EVENTS)
+    answer["events"][1][field] = value
+    with pytest.raises(MalformedAnswer):
+        parse_events(json.dumps(answer).encode())
+
+
+@pytest.mark.parametrize(
+    "row", [None, 1, "abcdef", [], [1, "+", "s", "a", 1], [1, "+", "s", "a", 1, "m", 0], {}]
+)
+def test_malformed_rows(row: Any) -> None:
+    events = {"epoch": 1, "next_token": 1, "lost": False, "events": [row]}
+    with pytest.raises(MalformedAnswer):
+        parse_events(json.dumps(events).encode())
+    owned = {"epoch": 1, "next_token": 1, "owned": [row]}
+    with pytest.raises(MalformedAnswer):
+        parse_list(json.dumps(owned).encode())
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b"null", b"7", b"\xff\xfe", b"[" * 100_000, b'{"epoch":' + b"9" * 5000 + b"}"]
+)
+def test_malformed_bodies(body: bytes) -> None:
+    with pytest.raises(MalformedAnswer):
+        parse_events(body)
+    with pytest.raises(MalformedAnswer):
+        parse_list(body)
+
+
+@given(st.recursive(st.none() | st.booleans() | st.integers() | st.text(), lambda inner: st.lists(inner)))
+def test_no_odd_event_gets_through(row: Any) -> None:
+    body = json.dumps({"epoch": 1, "next_token": 1, "lost": False, "events": [row]}).encode()
+    with pytest.raises(MalformedAnswer):
+        parse_events(body)
+
+
+def answer(epoch: int, numbers: list[int], next_token: int, lost: bool = False) -> EventsAnswer:
+    events = tuple(KeptEvent(number, True, "s", "a", number, "m") for number in numbers)
+    return EventsAnswer(epoch, next_token, lost, events)
+
+
+def numbers(step_events: tuple[KeptEvent, ...]) -> list[int]:
+    return [event.number for event in step_events]
+
+
+def test_the_first_answer_sets_the_cursor() -> None:
+    step = advance(START, answer(7, [1, 2], 2))
+    assert (step.restarted, step.cursor, numbers(step.events)) == (False, Cursor(7, 2), [1, 2])
+
+
+def test_events_up_to_the_cursor_are_left_out_and_it_never_goes_back() -> None:
+    step = advance(Cursor(7, 5), answer(7, [4, 5, 6], 6))
+    assert (step.cursor, numbers(step.events)) == (Cursor(7, 6), [6])
+    step = advance(Cursor(7, 5), answer(7, [2, 3], 3))
+    assert (step.cursor, numbers(step.events)) == (Cursor(7, 5), [])
+
+
+def test_a_restart_has_the_events_asked_for_from_the_beginning() -> None:
+    step = advance(Cursor(7, 5), answer(8, [6, 7], 7))
+    assert (step.restarted, step.cursor, numbers(step.events)) == (True, Cursor(8, 0), [6, 7])
+    step = advance(step.cursor, answer(8, [1, 2, 3, 4, 5, 6, 7], 7))
+    assert (step.restarted, step.cursor, numbers(step.events)) == (False, Cursor(8, 7), [1, 2, 3, 4, 5, 6, 7])
+
+
+def test_a_gap_sets_the_cursor_to_what_the_holder_says() -> None:
+    step = advance(Cursor(7, 2**60), answer(7, [40], 41, lost=True))
+    assert (step.restarted, step.cursor, numbers(step.events)) == (False, Cursor(7, 41), [40])
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -13,8 +13,8 @@
 from contextlib import suppress
 from pathlib import Path
 
-from iristrack.net import http
-from iristrack.net.scheduler import Scheduler, clock
+from iristrack.http1 import messages as http
+from iristrack.runtime.scheduler import Scheduler, clock
 
 ROOT = Path(__file__).parent.parent
 PATIENCE_S = 60.0  # how long a test waits for what must come: only a failing one waits so long
--- a/tests/state/disk.py
+++ b/tests/state/disk.py
@@ -92,6 +92,9 @@
         node.safe = node.data
         self._after()
 
+    def sync_data(self, handle: int) -> None:
+        self.sync(handle)
+
     def close(self, handle: int) -> None:
         self._call()
         if self.handles.pop(handle, None) is None:
--- /dev/null
+++ b/tests/state/test_sync_thread.py
@@ -0,0 +1,252 @@
+"""The thread between the loop and an acceptor's folder: order, one sync for all that waits, failures, bounds."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from iristrack.runtime.scheduler import Scheduler
+from iristrack.store import sync_thread
+from iristrack.store.cells import BlobRecord, CellRecord, IdentityRecord, open_cells
+from iristrack.store.sync_thread import EarlierFailure, SyncThread
+from iristrack.wire.messages import NO_BALLOT, Ballot
+
+OWNER = IdentityRecord("first", "a")
+LONG_S = 60.0
+
+
+def cell(key: str, number: int = 1) -> CellRecord:
+    return CellRecord(key, Ballot(number, "a"), NO_BALLOT, b"value")
+
+
+class SlowStore:
+    """Takes appends only while it is `let` to; holds what it was given."""
+
+    def __init__(self) -> None:
+        self.let = threading.Event()
+        self.entered = threading.Event()
+        self.appends: list[list] = []
+        self.failures: list[Exception] = []
+        self.threads: set[int] = set()
+        self.closed = False
+
+    def append(self, records: list) -> None:
+        self.entered.set()
+        assert self.let.wait(LONG_S)
+        self.threads.add(threading.get_ident())
+        if any(record.key == "refused" for record in records):
+            raise ValueError("refused")
+        self.appends.append(records)
+        if self.failures:
+            raise self.failures.pop(0)
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class Host:
+    """A loop with a thread beside it; outcomes are noted with the thread that told them."""
+
+    def __init__(self, store: object) -> None:
+        self.scheduler = Scheduler()
+        self.failures: list[Exception] = []
+        self.outcomes: list[tuple[object, bool]] = []
+        self.threads: set[int] = set()
+        self.thread = SyncThread(store, self.scheduler, self.failures.append)
+        self.thread.start()
+
+    def submit(self, label: object, *records: object, then: Callable[[], None] | None = None) -> None:
+        def note(ok: bool) -> None:
+            self.outcomes.append((label, ok))
+            self.threads.add(threading.get_ident())
+            if then is not None:
+                then()
+
+        self.thread.submit(records, note)
+
+    def run_until_told(self, label: object, *records: object) -> None:
+        """Submit one more and turn the loop until its outcome comes."""
+        self.submit(label, *records, then=self.scheduler.stop)
+        self.turn()
+
+    def turn(self) -> None:
+        self.scheduler._stopped = False
+        self.scheduler.run()
+
+
+@pytest.fixture
+def store() -> SlowStore:
+    return SlowStore()
+
+
+@pytest.fixture
+def host(store: SlowStore) -> Iterator[Host]:
+    host = Host(store)
+    yield host
+    store.let.set()
+    host.thread.stop(LONG_S)
+
+
+def test_outcomes_come_in_order_in_the_loops_thread(host: Host, store: SlowStore) -> None:
+    store.let.set()
+    for n in range(200):
+        host.submit(n, cell(f"k{n}"))
+    host.run_until_told("last", cell("last"))
+    assert host.outcomes == [(n, True) for n in range(200)] + [("last", True)]
+    assert host.threads == {threading.get_ident()} and threading.get_ident() not in store.threads
+    assert [record.key for batch in store.appends for record in batch][:200] == [f"k{n}" for n in range(200)]
+
+
+def test_all_that_waits_goes_with_one_append(host: Host, store: SlowStore) -> None:
+    host.submit("first", cell("first"))
+    assert store.entered.wait(LONG_S)
+    for n in range(50):
+        host.submit(n, cell(f"a{n}"), cell(f"b{n}"))
+    assert host.outcomes == [], "nothing is told before it is synced"
+    store.let.set()
+    host.run_until_told("last", cell("last"))
+    sizes = [len(batch) for batch in store.appends]
+    assert sizes[0] == 1 and sizes[1] in (100, 101) and sum(sizes) == 102
+
+
+def test_a_failed_write_is_told_to_all_that_it_held_and_the_next_one_succeeds(
+    host: Host, store: SlowStore
+) -> None:
+    store.failures = [OSError(5, "EIO")]
+    store.let.set()
+    host.run_until_told("lost", cell("lost"))
+    host.run_until_told("kept", cell("kept"))
+    assert host.outcomes == [("lost", False), ("kept", True)]
+    assert [str(failure) for failure in host.failures] == ["[Errno 5] EIO"]
+
+
+def test_what_was_submitted_before_a_failure_was_told_fails_with_it(host: Host, store: SlowStore) -> None:
+    store.failures = [OSError(5, "EIO")]
+    host.submit("lost", cell("lost"))
+    assert store.entered.wait(LONG_S)
+    host.submit("behind", cell("behind"))
+    store.let.set()
+    host.run_until_told("also behind", cell("also"))
+    host.run_until_told("after", cell("after"))
+    assert host.outcomes == [("lost", False), ("behind", False), ("also behind", False), ("after", True)]
+    assert [type(failure) for failure in host.failures] == [OSError, EarlierFailure, EarlierFailure]
+    assert [[record.key for record in batch] for batch in store.appends] == [["lost"], ["after"]]
+
+
+def test_each_of_two_failures_costs_what_was_submitted_before_it_was_told(
+    host: Host, store: SlowStore
+) -> None:
+    store.failures = [OSError(5, "one"), OSError(5, "two")]
+    store.let.set()
+
+    def submit_more() -> None:
+        store.let.clear()
+        store.entered.clear()
+        host.submit("second", cell("second"))
+        assert store.entered.wait(LONG_S)
+        host.submit("behind the second", cell("behind"), then=host.scheduler.stop)
+        store.let.set()
+
+    host.submit("first", cell("first"), then=submit_more)
+    host.turn()
+    assert host.outcomes == [("first", False), ("second", False), ("behind the second", False)]
+
+
+def test_a_refused_record_costs_none_before_it(host: Host, store: SlowStore) -> None:
+    host.submit("held", cell("held"))
+    assert store.entered.wait(LONG_S)
+    host.submit("before", cell("before"))
+    host.submit("refused", cell("refused"))
+    host.submit("behind", cell("behind"))
+    store.let.set()
+    host.run_until_told("last", cell("last"))
+    assert host.outcomes[:4] == [("held", True), ("before", True), ("refused", False), ("behind", False)]
+    host.run_until_told("after", cell("after"))
+    assert host.outcomes[-1] == ("after", True)
+
+
+def test_over_the_bound_of_records_it_is_told_at_once_and_room_comes_back(
+    host: Host, store: SlowStore
+) -> None:
+    batch = [cell(f"k{n}") for n in range(sync_thread.MOST_RECORDS // 4)]
+    for n in range(4):
+        host.submit(n, *batch)
+    host.submit("over", cell("over"))
+    assert host.outcomes == [("over", False)]
+    store.let.set()
+    while len(host.outcomes) < 5:
+        host.scheduler.call_at(0, host.scheduler.stop)
+        host.turn()
+    host.run_until_told("room", cell("room"))
+    assert host.outcomes[1:] == [(0, True), (1, True), (2, True), (3, True), ("room", True)]
+
+
+def test_over_the_bound_of_bytes_it_is_told_at_once(host: Host, store: SlowStore) -> None:
+    value = bytes(8 << 20)
+    for n in range(3):
+        host.submit(n, CellRecord(f"k{n}", NO_BALLOT, NO_BALLOT, value))
+    host.submit("over", CellRecord("over", NO_BALLOT, NO_BALLOT, value))
+    host.submit("small", cell("small"))
+    assert host.outcomes == [("over", False)]
+    store.let.set()
+    host.run_until_told("last", cell("last"))
+    assert host.outcomes[-2:] == [("small", True), ("last", True)]
+
+
+def test_a_failing_callback_costs_no_other(host: Host, store: SlowStore) -> None:
+    reported: list[str] = []
+    host.scheduler.report_failure = reported.append
+
+    def fail() -> None:
+        raise RuntimeError("of the host")
+
+    store.let.set()
+    host.submit("fails", cell("a"), then=fail)
+    host.run_until_told("last", cell("last"))
+    assert host.outcomes == [("fails", True), ("last", True)] and len(reported) == 1
+
+
+def test_a_stop_writes_what_waits_and_tells_it(store: SlowStore) -> None:
+    host = Host(store)
+    host.submit("a", cell("a"))
+    host.submit("b", cell("b"))
+    store.let.set()
+    assert host.thread.stop(LONG_S)
+    host.submit("late", cell("late"))
+    assert host.outcomes == [("a", True), ("b", True), ("late", False)] and store.closed
+    assert [record.key for batch in store.appends for record in batch] == ["a", "b"]
+
+
+def test_a_stop_does_not_wait_for_a_stuck_disk(store: SlowStore) -> None:
+    host = Host(store)
+    host.submit("a", cell("a"))
+    assert store.entered.wait(LONG_S)
+    host.submit("b", cell("b"))
+    assert not host.thread.stop(0.0)
+    assert host.outcomes == [("a", False), ("b", False)]
+    assert all(isinstance(failure, TimeoutError) for failure in host.failures)
+    store.let.set()
+    host.thread._thread.join(LONG_S)
+    assert store.closed
+
+
+def test_a_stop_without_a_start_lets_go_of_the_store(store: SlowStore) -> None:
+    thread = SyncThread(store, Scheduler())
+    assert thread.stop(LONG_S) and store.closed
+
+
+def test_what_was_told_as_kept_is_in_the_folder(tmp_path: Path) -> None:
+    host = Host(open_cells(str(tmp_path), "a").store)
+    host.submit("owner", OWNER)
+    for n in range(100):
+        host.submit(n, cell(f"k{n % 7}", n))
+    host.submit("blob", BlobRecord("members", b"m"))
+    assert host.thread.stop(LONG_S)
+    assert all(ok for _, ok in host.outcomes) and len(host.outcomes) == 102
+    opened = open_cells(str(tmp_path), "a")
+    opened.store.close()
+    assert opened.identity == OWNER and opened.blobs == {"members": b"m"}
+    assert opened.cells == {f"k{n % 7}": cell(f"k{n % 7}", n) for n in range(93, 100)}
--- a/tests/test_cold_processes.py
+++ b/tests/test_cold_processes.py
@@ -13,7 +13,7 @@
 import pytest
 from stage import SETTINGS, Client, Program, Stage, call, until
 
-from iristrack.net import http
+from iristrack.http1 import messages as http
 
 MANY = {  # so many that each sees little of a server; a cold one bears the least for long
     "balancers": 60,
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,9 +11,9 @@
 
 from iristrack import interface as mi
 from iristrack.config import Config, flatten, read_address, read_settings
-from iristrack.net import http
-from iristrack.net.scheduler import Scheduler, clock
+from iristrack.http1 import messages as http
 from iristrack.net.sidecar import Answer, ClientRequest, Ending, Sidecar, most_connections
+from iristrack.runtime.scheduler import Scheduler, clock
 
 LONG = 30 * mi.NS_PER_S
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -38,12 +38,12 @@
 
 from iristrack import interface as mi
 from iristrack.config import Config, flatten, read_address, read_settings
+from iristrack.http1 import messages as http
 from iristrack.net import front as front_module
-from iristrack.net import http
 from iristrack.net.front import HttpFront, _Passage
 from iristrack.net.handover import file_name
-from iristrack.net.scheduler import Scheduler, clock
 from iristrack.net.sidecar import Sidecar
+from iristrack.runtime.scheduler import Scheduler, clock
 
 S = mi.NS_PER_S
 
--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -13,7 +13,7 @@
 import pytest
 from stage import Client, Program, Stage, call, until
 
-from iristrack.net import http
+from iristrack.http1 import messages as http
 
 
 class Node:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -16,8 +16,8 @@
 from iristrack.config import ConfigError, load
 from iristrack.net.door import MOST_CALLERS, Door
 from iristrack.net.front import HttpFront
-from iristrack.net.scheduler import Scheduler
 from iristrack.net.sidecar import Sidecar
+from iristrack.runtime.scheduler import Scheduler
 
 
 @pytest.fixture
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -10,9 +10,9 @@
 from stage import ROOT, Stage, until
 
 from iristrack.config import load
-from iristrack.net import http
-from iristrack.net.scheduler import Scheduler
+from iristrack.http1 import messages as http
 from iristrack.net.sidecar import Sidecar
+from iristrack.runtime.scheduler import Scheduler
 
 S = 10**9
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from iristrack.net import http
+from iristrack.http1 import messages as http
 
 TOKEN = st.text("abcdefghijklmnopqrstuvwxyzABC-", min_size=1, max_size=12).map(str.encode)
 VALUE = st.text("abc XYZ0123:;,=/\u00e9", max_size=20).map(lambda t: t.strip().encode("latin-1"))
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -12,7 +12,8 @@
 
 from iristrack import interface as mi
 from iristrack.balance import Balancer
-from iristrack.net import front, http
+from iristrack.http1 import messages as http
+from iristrack.net import front
 
 MB = 1 << 20
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from iristrack.net.scheduler import FEWEST_STALE, READ, WOKEN, Cancelled, Scheduler, clock
+from iristrack.runtime.scheduler import FEWEST_STALE, READ, WOKEN, Cancelled, Scheduler, clock
 
 HOUR = 3600 * 10**9
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -30,7 +30,7 @@
     until,
 )  # fmt: skip
 
-from iristrack.net import http
+from iristrack.http1 import messages as http
 from iristrack.net.front import REQUEST_NS
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -11,7 +11,7 @@
 from stage import Client, Program, Stage, call, free_port, serve, until
 
 from iristrack.net.handover import file_name
-from iristrack.net.scheduler import Scheduler
+from iristrack.runtime.scheduler import Scheduler
 
 
 def admin() -> dict:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -19,8 +19,9 @@
 from iristrack import interface as mi
 from iristrack.balance import ASK_AGAIN_NS
 from iristrack.config import flatten, read_address, read_settings
-from iristrack.net import discovery, http
-from iristrack.net.scheduler import READ, Scheduler
+from iristrack.http1 import messages as http
+from iristrack.net import discovery
+from iristrack.runtime.scheduler import READ, Scheduler
 
 MS, S = mi.NS_PER_MS, mi.NS_PER_S
 
--- a/tests/test_zone_processes.py
+++ b/tests/test_zone_processes.py
@@ -12,7 +12,7 @@
 
 from stage import Client, Program, Stage, call, until
 
-from iristrack.net import http
+from iristrack.http1 import messages as http
 
 MANY = {"balancers": 24, "zone": "a"}
 
--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,308 @@
+"""Frames of the inner connections: round trips, any cut, any garbage, and programs of two versions side by side."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import struct
+import subprocess
+import sys
+import typing
+from dataclasses import dataclass, fields, is_dataclass
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from iristrack.wire import codec, messages
+from iristrack.wire.codec import (
+    KINDS,
+    MOST_FRAME_BYTES,
+    REGISTRY,
+    FrameReader,
+    FrameTooLarge,
+    FrameTooShort,
+    MessageKind,
+    Registry,
+    encode,
+)
+
+AVRO_NAMES = {str: "string", int: "long", bool: "boolean", bytes: "bytes", float: "double"}
+STRATEGIES = {
+    str: st.text(max_size=20),
+    int: st.integers(-(2**63), 2**63 - 1),
+    bool: st.booleans(),
+    bytes: st.binary(max_size=200),
+    float: st.floats(allow_nan=False),
+}
+
+
+def values(hint: object) -> st.SearchStrategy:
+    """Values of a field's type."""
+    if hint in STRATEGIES:
+        return STRATEGIES[hint]
+    if typing.get_origin(hint) is tuple:
+        return st.lists(values(typing.get_args(hint)[0]), max_size=4).map(tuple)
+    hints = typing.get_type_hints(hint)
+    return st.builds(hint, **{field.name: values(hints[field.name]) for field in fields(hint)})
+
+
+MESSAGES = st.one_of([values(kind.message_type) for kind in KINDS])
+
+
+def avro_type(hint: object, named: set[str]) -> object:
+    """What a schema says of a field of this type; `named` holds the records that were spelt out."""
+    if hint in AVRO_NAMES:
+        return AVRO_NAMES[hint]
+    if typing.get_origin(hint) is tuple:
+        return {"type": "array", "items": avro_type(typing.get_args(hint)[0], named)}
+    assert is_dataclass(hint)
+    if hint.__name__ in named:
+        return hint.__name__
+    named.add(hint.__name__)
+    hints = typing.get_type_hints(hint)
+    return {
+        "type": "record",
+        "name": hint.__name__,
+        "fields": [
+            {"name": field.name, "type": avro_type(hints[field.name], named)} for field in fields(hint)
+        ],
+    }
+
+
+def without_defaults(schema: dict) -> dict:
+    """A schema's record without what a dataclass does not say."""
+    kept = [{"name": field["name"], "type": field["type"]} for field in schema["fields"]]
+    return {"type": schema["type"], "name": schema["name"], "fields": kept}
+
+
+def test_every_message_is_registered_once_and_its_newest_schema_says_what_its_dataclass_says() -> None:
+    assert {kind.message_type for kind in KINDS} == set(typing.get_args(messages.Message))
+    for kind in KINDS:
+        newest = REGISTRY.schemas(kind)[-1]
+        assert without_defaults(newest) == avro_type(kind.message_type, set()), kind.schema_name
+
+
+def test_a_schema_only_ever_grows_at_its_end_and_with_defaults() -> None:
+    for kind in KINDS:
+        schemas = REGISTRY.schemas(kind)
+        for older, newer in itertools.pairwise(schemas):
+            known = len(older["fields"])
+            assert newer["fields"][:known] == older["fields"], kind.schema_name
+            assert all("default" in field for field in newer["fields"][known:]), kind.schema_name
+
+
+def test_no_schema_file_is_without_its_row() -> None:
+    rows = {f"{kind.schema_name}.{n}.avsc" for kind in KINDS for n in range(1, kind.version + 1)}
+    assert {path.name for path in codec.SCHEMA_FOLDER.glob("*.avsc")} == rows
+
+
+def test_a_kind_is_registered_once() -> None:
+    with pytest.raises(ValueError, match="twice"):
+        Registry([MessageKind(1, messages.Hello), MessageKind(1, messages.View)])
+
+
+@pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.schema_name)
+@given(data=st.data())
+def test_every_message_comes_back(kind: MessageKind, data: st.DataObject) -> None:
+    message = data.draw(values(kind.message_type))
+    reader = FrameReader()
+    assert reader.feed(encode(message)) == [message]
+    assert reader.skipped == 0
+
+
+def test_a_frame_is_as_documented() -> None:
+    frame = encode(messages.Update("t", 3, b"abc"))
+    body = b"\x02t" + b"\x06" + b"\x06abc"  # zigzag lengths and numbers
+    assert frame == struct.pack(">IHH", 4 + len(body), 7, 1) + body
+
+
+@given(st.lists(MESSAGES, max_size=6), st.lists(st.integers(0, 2000), max_size=12))
+def test_messages_come_whole_and_in_order_whatever_the_cuts(sent: list, cuts: list[int]) -> None:
+    data = b"".join(encode(message) for message in sent)
+    places = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
+    reader, received = FrameReader(), []
+    for begin, end in itertools.pairwise(places):
+        received += reader.feed(data[begin:end])
+    assert received == sent and reader.skipped == 0
+
+
+def test_messages_come_byte_by_byte() -> None:
+    sent = [messages.Subscribe((messages.Version("a", 1),)), messages.Update("a", 2, b"x" * 300)]
+    reader, received = FrameReader(), []
+    for byte in b"".join(encode(message) for message in sent):
+        received += reader.feed(bytes([byte]))
+    assert received == sent
+
+
+def test_a_value_of_8_mib_comes_back_in_pieces() -> None:
+    sent = messages.Accept(1, "key", messages.Ballot(1, "a"), "i", b"\xa5" * (8 << 20))
+    frame, reader, received = encode(sent), FrameReader(), []
+    for begin in range(0, len(frame), 65536):
+        received += reader.feed(frame[begin : begin + 65536])
+    assert received == [sent]
+
+
+def test_an_oversized_frame_is_neither_written_nor_waited_for() -> None:
+    with pytest.raises(FrameTooLarge):
+        encode(messages.Update("t", 1, bytes(MOST_FRAME_BYTES)))
+    reader = FrameReader()
+    with pytest.raises(FrameTooLarge):
+        reader.feed(struct.pack(">I", MOST_FRAME_BYTES - 4 + 1))
+    with pytest.raises(FrameTooLarge):
+        reader.feed(encode(messages.View()))
+    assert FrameReader().feed(struct.pack(">I", MOST_FRAME_BYTES - 4)) == []
+
+
+def test_the_largest_frame_is_taken() -> None:
+    overhead = len(encode(messages.Update("t", 1, bytes(MOST_FRAME_BYTES - 100)))) - (MOST_FRAME_BYTES - 100)
+    message = messages.Update("t", 1, bytes(MOST_FRAME_BYTES - overhead))
+    frame = encode(message)
+    assert len(frame) == MOST_FRAME_BYTES and FrameReader().feed(frame) == [message]
+
+
+@pytest.mark.parametrize("length", range(4))
+def test_a_frame_without_room_for_its_kind_ends_the_connection(length: int) -> None:
+    with pytest.raises(FrameTooShort):
+        FrameReader().feed(struct.pack(">I", length) + bytes(8))
+
+
+def framed(number: int, version: int, body: bytes) -> bytes:
+    return struct.pack(">IHH", 4 + len(body), number, version) + body
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        framed(60_000, 1, b"of a later program"),
+        framed(8, 0, encode(messages.Heartbeat("n", "p", 1))[8:]),
+        framed(8, 1, encode(messages.Heartbeat("n", "p", 1))[8:] + b"\0"),
+        framed(8, 1, encode(messages.Heartbeat("n", "p", 1))[8:-1]),
+        framed(7, 1, b"\x02\xff\x02\x00"),  # no UTF-8
+        framed(9, 1, b"\xfe\xff\xff\xff\xff\xff\xff\xff\xff\x01"),  # 2 ** 62 members
+        framed(9, 1, b""),
+    ],
+    ids=["unknown kind", "version 0", "left over", "cut", "no text", "huge array", "empty"],
+)
+def test_a_frame_that_says_nothing_is_skipped_counted_and_costs_no_other(frame: bytes) -> None:
+    before, after = messages.View(), messages.Hello("n", "dataplane", "p", "z", "r", "127.0.0.1:1")
+    reader = FrameReader()
+    assert reader.feed(encode(before) + frame + encode(after)) == [before, after]
+    assert reader.skipped == 1
+
+
+@given(st.sampled_from(KINDS), st.integers(0, 3), st.binary(max_size=120))
+def test_a_body_of_noise_is_skipped_or_a_message(kind: MessageKind, version: int, noise: bytes) -> None:
+    reader = FrameReader()
+    received = reader.feed(framed(kind.number, version, noise))
+    assert len(received) + reader.skipped == 1
+    assert all(type(message) is kind.message_type for message in received)
+
+
+@given(MESSAGES, st.data())
+def test_a_changed_byte_of_a_body_never_costs_the_next_message(message: object, data: st.DataObject) -> None:
+    frame = bytearray(encode(message))
+    if len(frame) > 8:
+        frame[data.draw(st.integers(8, len(frame) - 1))] = data.draw(st.integers(0, 255))
+    reader = FrameReader()
+    received = reader.feed(bytes(frame) + encode(messages.View()))
+    assert received[-1] == messages.View() and len(received) + reader.skipped == 2
+
+
+@given(st.lists(st.binary(max_size=60), max_size=8))
+def test_noise_is_frames_or_a_wire_error(noise: list[bytes]) -> None:
+    reader = FrameReader()
+    try:
+        for data in noise:
+            reader.feed(data)
+    except codec.WireError:
+        with pytest.raises(codec.WireError):
+            reader.feed(b"")
+
+
+# ---- two versions of a program
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    name: str
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class OldNotice:
+    text: str
+    parts: tuple[Part, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NewNotice:
+    text: str
+    parts: tuple[Part, ...]
+    urgency: int = 5
+    more: tuple[Part, ...] = ()
+
+
+PART = {
+    "type": "record",
+    "name": "Part",
+    "fields": [{"name": "name", "type": "string"}, {"name": "size", "type": "long"}],
+}
+OLD_FIELDS = [
+    {"name": "text", "type": "string"},
+    {"name": "parts", "type": {"type": "array", "items": PART}},
+]
+NEW_FIELDS = [
+    *OLD_FIELDS,
+    {"name": "urgency", "type": "long", "default": 5},
+    {"name": "more", "type": {"type": "array", "items": "Part"}, "default": []},
+]
+
+
+def program(folder: Path, message_type: type, schemas: list[list[dict]]) -> Registry:
+    """The registry of a program that knows so many versions of the one message."""
+    folder.mkdir()
+    kind = MessageKind(77, message_type, len(schemas))
+    for version, schema_fields in enumerate(schemas, 1):
+        schema = {"type": "record", "name": "Notice", "fields": schema_fields}
+        (folder / f"{kind.schema_name}.{version}.avsc").write_text(json.dumps(schema))
+    return Registry([kind], folder)
+
+
+@pytest.fixture
+def old(tmp_path: Path) -> Registry:
+    return program(tmp_path / "old", OldNotice, [OLD_FIELDS])
+
+
+@pytest.fixture
+def new(tmp_path: Path) -> Registry:
+    return program(tmp_path / "new", NewNotice, [OLD_FIELDS, NEW_FIELDS])
+
+
+def test_a_new_reader_takes_an_old_body_and_fills_in_what_it_lacks(old: Registry, new: Registry) -> None:
+    parts = (Part("a", 1), Part("b", 2))
+    reader = FrameReader(new)
+    frame = old.encode(OldNotice("x", parts))
+    assert reader.feed(frame + frame) == [NewNotice("x", parts, 5, ())] * 2 and reader.skipped == 0
+
+
+def test_an_old_reader_takes_a_new_body_and_leaves_what_it_does_not_know(
+    old: Registry, new: Registry
+) -> None:
+    parts = (Part("a", 1), Part("b", 2))
+    reader = FrameReader(old)
+    frame = new.encode(NewNotice("x", parts, 9, (Part("c", 3),)))
+    assert reader.feed(frame + frame) == [OldNotice("x", parts)] * 2 and reader.skipped == 0
+
+
+def test_an_old_body_with_bytes_left_over_is_spoilt_for_a_new_reader(old: Registry, new: Registry) -> None:
+    body = old.encode(OldNotice("x", ()))[8:] + b"\0"
+    reader = FrameReader(new)
+    assert reader.feed(framed(77, 1, body)) == [] and reader.skipped == 1
+
+
+def test_no_schema_is_parsed_and_no_avro_imported_before_the_first_message() -> None:
+    probe = "import sys, iristrack.wire.codec; print('fastavro' in sys.modules)"
+    told = subprocess.run([sys.executable, "-c", probe], capture_output=True, text=True, check=True)
+    assert told.stdout.strip() == "False"
