Prepare servers before they take new weights, and tell loads among sidecars

Counts of own requests alone say little where six sidecars share five servers.

Change: the roll prepares a server first (long answers go elsewhere), updates tell which servers are busy, next or done; sidecars tell their requests and unread prompt pieces through a core member of their zone; the choice counts pieces.

Ruled out: more servers at once, as loads then take longer.

--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -10,6 +10,7 @@
 
 from iristrack.controlplane import changes
 from iristrack.controlplane.distribution import Distribution
+from iristrack.controlplane.load_hub import LoadHub
 from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.controlplane.weights import WeightsDuty
@@ -33,6 +34,7 @@
     Message,
     Prepare,
     Promise,
+    ServerLoads,
     Subscribe,
     Update,
     VersionsValue,
@@ -45,6 +47,7 @@
 LEARN_NS = 800 * NS_PER_MS
 STOP_NS = 300 * NS_PER_MS  # between SIGTERM and the end, for what is under way
 DISK_STOP_S = 1.0
+CORE_ROLE = "controlplane"
 FIRST_MEMBERS = 1  # sequence of the member set that the seeds form
 VALUE_TYPES = {
     topics.CONFIGURATION: ConfigurationValue,
@@ -76,7 +79,9 @@
             self.scheduler, self.address, opened, self.sync, self._send, topics.REGISTERS, log
         )
         self.distribution = Distribution(self.dialers.broadcast)
+        self.load_hub = LoadHub(self.scheduler, settings.node_name, self.dialers.broadcast)
         self.heartbeats = 0
+        self._core: set[PeerConnection] = set()  # accepted connections whose other ends are core members
         self._learned: dict[str, tuple] = {}  # key: the accepted ballot that was last seen committed
         self.weights: WeightsDuty | None = None
 
@@ -160,7 +165,7 @@
         settings = self.settings
         return Hello(
             settings.node_name,
-            "controlplane",
+            CORE_ROLE,
             self.process,
             settings.zone,
             settings.region,
@@ -193,8 +198,18 @@
             self.distribution.subscribe(connection, message)
         elif isinstance(message, Heartbeat):
             self._on_heartbeat(connection, message)
-        elif isinstance(message, Hello) and message.incarnation:
-            self.register.identity.incarnations[message.address] = message.incarnation
+        elif isinstance(message, ServerLoads):
+            self._on_loads(connection, message)
+        elif isinstance(message, Hello) and message.role == CORE_ROLE:
+            self._core = {c for c in self._core if not c.closed} | {connection}
+            if message.incarnation:
+                self.register.identity.incarnations[message.address] = message.incarnation
+
+    def _on_loads(self, connection: PeerConnection, message: ServerLoads) -> None:
+        if connection in self._core:
+            self.load_hub.from_member(message)
+        else:
+            self.load_hub.from_sidecar(connection, message)
 
     def _on_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
         if connection in self.distribution.subscribers:
--- a/iristrack/controlplane/weights.py
+++ b/iristrack/controlplane/weights.py
@@ -9,7 +9,7 @@
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.duties.lease import Lease
 from iristrack.engines.reports import MalformedReport, Report, read_report
-from iristrack.engines.roll import Upgrade, next_upgrades, wanted_upgrades
+from iristrack.engines.roll import Roll, Upgrade, wanted_upgrades
 from iristrack.http1 import messages as http
 from iristrack.http1.fetching import Caller
 from iristrack.placement.servers import ListedServer
@@ -20,7 +20,7 @@
 from iristrack.settings import Settings
 from iristrack.wire.codec import encode
 from iristrack.wire.dialing import parse_address
-from iristrack.wire.messages import BusyServers, DutyValue, Update
+from iristrack.wire.messages import BusyServers, DutyValue, InstanceRevision, Update
 from iristrack.wire.values import decode_value
 
 NS_PER_MS = 1_000_000
@@ -58,7 +58,8 @@
         lease_ns = int(settings.rule_bounds.lease_ms) * NS_PER_MS
         self.lease = Lease(settings.node_name, process, lease_ns)
         self.servers: list[ListedServer] = []
-        self.under_way: dict[str, Upgrade] = {}
+        self.roll = Roll()
+        self._told: BusyServers | None = None
         self._done: dict[tuple[str, str], int] = {}  # (instance, model): revision that its report told
         self._updates = 0
         self._list_at = 0
@@ -106,9 +107,9 @@
             self._poll_list()
         wanted = [u for u in wanted_upgrades(self.servers, self.named()) if not self._is_done(u)]
         self._list_at = min(self._list_at, now + POLL_BUSY_NS) if wanted else self._list_at
-        for upgrade in next_upgrades(wanted, self.under_way):
-            self.under_way[upgrade.instance_id] = upgrade
-            self._tell_busy()
+        orders = self.roll.next_orders(wanted, now)
+        self._tell_busy()
+        for upgrade in orders:
             self.scheduler.spawn("upgrade", self._upgrade, upgrade)
 
     def _poll_list(self) -> None:
@@ -142,7 +143,7 @@
                 self.scheduler.sleep(REPORT_NS)
         finally:
             caller.close()
-            self.under_way.pop(upgrade.instance_id, None)
+            self.roll.ended(upgrade.instance_id)
             self._tell_busy()
 
     def _report(self, caller: Caller) -> Report | None:
@@ -180,9 +181,11 @@
         return answer.head.status in (200, 202)
 
     def _tell_busy(self) -> None:
-        if self.lease.holding is None:
+        taken = (InstanceRevision(name, model, revision) for (name, model), revision in self._done.items())
+        busy = BusyServers(tuple(sorted(self.roll.ordered)), tuple(sorted(self.roll.preparing)), tuple(taken))
+        if self.lease.holding is None or busy == self._told:
             return
+        self._told = busy
         self._updates += 1
         sequence = (self.lease.holding.fence << FENCE_SHIFT) + self._updates
-        value = encode(BusyServers(tuple(sorted(self.under_way))))
-        self.publish(Update(topics.BUSY_SERVERS, sequence, value))
+        self.publish(Update(topics.BUSY_SERVERS, sequence, encode(busy)))
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from iristrack.configuration.document import parse_configuration
+from iristrack.dataplane.load_reports import LoadReporter
 from iristrack.dataplane.state import ActiveConfiguration, ModelVersion, PlaneState
 from iristrack.relay import topics
 from iristrack.relay.topics import TopicTable
@@ -19,6 +20,7 @@
     Hello,
     MembersValue,
     Message,
+    ServerLoads,
     Subscribe,
     Update,
     VersionsValue,
@@ -39,7 +41,8 @@
         self.topics = TopicTable()
         self.process = secrets.token_hex(6)
         self.heartbeats = 0
-        self.heard: set[str] = set()  # addresses that have told all they know
+        self.zones: dict[PeerConnection, str] = {}  # of the core members at the other ends
+        self.loads = LoadReporter(plane, self)
         self._busy: set[str] = set()
         self._handlers: dict[str, Callable[[bytes], None]] = {
             topics.CONFIGURATION: self._on_configuration,
@@ -78,8 +81,17 @@
             handler = self._handlers.get(message.topic)
             if handler is not None:
                 handler(message.value)
-        elif isinstance(message, Heartbeat):
-            self.heard.add(message.node)
+        elif isinstance(message, ServerLoads):
+            self.loads.on_others(message)
+        elif isinstance(message, Hello):
+            self.zones[connection] = message.zone
+
+    def hub(self) -> PeerConnection | None:
+        """The core member that sums loads for this zone: one in the zone where there is one, else any."""
+        self.zones = {c: zone for c, zone in self.zones.items() if not c.closed}
+        zone = self.plane.settings.zone
+        near = [c for c, told in self.zones.items() if told == zone]
+        return near[0] if near else next(iter(self.zones), None)
 
     def _on_configuration(self, value: bytes) -> None:
         told = decode_value(value, ConfigurationValue)
@@ -107,6 +119,10 @@
         told = decode_value(value, BusyServers)
         if told is None:
             return
+        for taken in told.taken:
+            server = self.plane.servers.servers.get(taken.instance)
+            if server is not None:
+                server.saw_revision(taken.model, taken.revision)
         now = clock()
         busy = set(told.instances)
         for instance in busy | self._busy:
@@ -114,3 +130,5 @@
             if server is not None:
                 server.avoid_until = now + BUSY_NS if instance in busy else 0
         self._busy = busy
+        for server in self.plane.servers.servers.values():
+            server.preparing = server.instance_id in told.preparing
--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -10,7 +10,7 @@
 from iristrack.dataplane.requests import ClientRequest, Rejected, read_request
 from iristrack.dataplane.state import PlaneState
 from iristrack.http1 import messages as http
-from iristrack.placement.choice import Placement, choose
+from iristrack.placement.choice import Prompt, choose, pieces_to_read
 from iristrack.placement.engines import cache_salt, serving
 from iristrack.placement.servers import Server
 from iristrack.prefix_index.parts import shared_parts
@@ -21,7 +21,8 @@
 RETRY_AFTER_S = 0.25  # told to a client whose request has not run
 LEAST_LEFT_NS = 20 * NS_PER_MS  # with less time left nothing is sent any more
 LEAST_FETCH_TOKENS = 64  # fewer are read faster than they are moved
-OLD_WEIGHTS_SHARE = 0.6  # of `version_ms` after which no request is sent to servers on older weights
+SHORT_OUTPUT_TOKENS = 32  # an answer of so many tokens is done soon
+OLD_WEIGHTS_SHARE = 0.75  # of `version_ms` after which no request is sent to servers on older weights
 WHOLE_ANSWER = 256 * 1024  # a longer one is passed on in pieces
 
 
@@ -52,6 +53,8 @@
         self.begun = False  # has the client got a part of the answer?
         self.last_event_id = request.last_event_id
         self.service = self._draw_service()
+        self._covered: dict[str, dict[str, int]] = {}  # by salt, as of this attempt
+        self._unread: int = 0  # pieces that the attempt's server still has to read
 
     def _draw_service(self) -> str:
         targets = self.request.route.targets
@@ -88,6 +91,7 @@
     def _next_server(self) -> Server | None:
         """The server for the next attempt; None where there is none, or it may not be sent again."""
         now = clock()
+        self._covered.clear()
         if self.may_have_run and not self.request.idempotent:
             return None
         if self.request.hold_until - now < LEAST_LEFT_NS:
@@ -131,8 +135,9 @@
         model = self.request.model
         if model is not None:
             usable = self._on_current_weights(usable, model, now)
-        placement = Placement(self.request.key, self.request.memory_tokens)
-        return choose(usable, placement, self._kept_tokens, self.plane.rng)
+        if self.request.output_tokens > SHORT_OUTPUT_TOKENS:
+            usable = [s for s in usable if not s.preparing] or usable
+        return choose(usable, self.request.key, self._prompt_at, self.plane.rng)
 
     def _on_current_weights(self, servers: list[Server], model: str, now: int) -> list[Server]:
         """Servers that may begin requests: soon after a new revision was acknowledged only those that hold it."""
@@ -149,11 +154,26 @@
         model = self.request.model or ""
         return cache_salt(model, server.revisions.get(model, 0), isolated)
 
-    def _kept_tokens(self, server: Server) -> int:
+    def _prompt_at(self, server: Server) -> Prompt:
+        """What the server would have to do with the prompt."""
         request = self.request
         if not request.parts or request.model is None:
-            return 0
-        return self.plane.index.kept_tokens(server.address, self._salt(server), request.model, request.parts)
+            return Prompt(request.prompt_tokens, 0, 0)
+        kept = self._coverage(self._salt(server))
+        own = kept.get(server.address, 0)
+        elsewhere = max((tokens for holder, tokens in kept.items() if holder != server.address), default=0)
+        return Prompt(request.prompt_tokens, own, elsewhere)
+
+    def _coverage(self, salt: str) -> dict[str, int]:
+        """How much of the prompt each server and store keeps under the salt."""
+        known = self._covered.get(salt)
+        if known is None:
+            request = self.request
+            stores = [store.address for store in self.plane.active.stores]
+            servers = [server.address for server in self.plane.servers.of_service(self.service)]
+            known = self.plane.index.coverage(salt, request.model, request.parts, [*servers, *stores])
+            self._covered[salt] = known
+        return known
 
     def _cache_use(self, server: Server) -> CacheUse | None:
         """What the request is told of kept prompts; None where it has no prompt."""
@@ -165,12 +185,9 @@
         shared = shared_parts(request.parts)
         if not shared:
             return CacheUse(revision, salt, None, None)
-        index = self.plane.index
         stores = [store.address for store in self.plane.active.stores]
-        peers = [s.address for s in self.plane.servers.of_service(self.service) if s is not server]
-        holders = [server.address, *peers, *stores]
-        kept = index.coverage(salt, request.model, request.parts, holders)
-        own = kept.pop(server.address)
+        kept = dict(self._coverage(salt))
+        own = kept.pop(server.address, 0)
         source = max(kept, key=kept.__getitem__, default=None)
         if source is not None and kept[source] < own + LEAST_FETCH_TOKENS:
             source = None
@@ -187,8 +204,8 @@
         if self.tried:
             plane.counters.retries += 1
         cache = self._cache_use(server)
-        tokens = request.memory_tokens
-        server.began(tokens)
+        self._unread = pieces_to_read(self._prompt_at(server))
+        server.began(self._unread)
         try:
             attempt.send(self._encode(server, cache))
             return self._take_answer(attempt, server, cache)
@@ -201,9 +218,15 @@
         finally:
             if attempt.written:
                 self.tried.append(server)
-            server.ended(tokens)
+            self._has_read(server)
+            server.ended()
             attempt.close()
 
+    def _has_read(self, server: Server) -> None:
+        """The prompt is read, or the attempt is over."""
+        server.has_read(self._unread)
+        self._unread = 0
+
     def _note_failure(self, server: Server, failure: AttemptFailed) -> None:
         self.failed_at.add(server.instance_id)
         self.may_have_run = self.may_have_run or failure.ran
@@ -314,6 +337,7 @@
         splitter = EventSplitter()
         first = True
         for piece in attempt.pieces():
+            self._has_read(server)
             events = splitter.feed(piece)
             data = b"".join(event.data for event in events if self._is_next(event.id))
             for event in events:
--- a/iristrack/engines/roll.py
+++ b/iristrack/engines/roll.py
@@ -1,4 +1,8 @@
-"""Which servers take new weights next: a few at a time, so that the others go on serving."""
+"""Which servers take new weights when: a few at a time, so that the others go on serving.
+
+A server that was ordered to take weights turns new requests away until the running ones are done, so it is prepared
+first: long answers go elsewhere for a moment, and little is left to wait for when the order comes.
+"""
 
 from __future__ import annotations
 
@@ -8,6 +12,7 @@
 from iristrack.placement.servers import ListedServer
 
 AT_ONCE = 2  # more would make each load last longer
+PREPARE_NS = 1_200_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,13 +36,33 @@
     return upgrades
 
 
-def next_upgrades(wanted: list[Upgrade], under_way: Mapping[str, object]) -> list[Upgrade]:
-    """Those that may begin now, one for each server."""
-    room = AT_ONCE - len(under_way)
-    chosen: dict[str, Upgrade] = {}
-    for upgrade in sorted(wanted, key=lambda upgrade: upgrade.instance_id):
-        if len(chosen) >= room:
-            break
-        if upgrade.instance_id not in under_way:
-            chosen.setdefault(upgrade.instance_id, upgrade)
-    return list(chosen.values())
+class Roll:
+    """One model server after the other is prepared, ordered and done."""
+
+    def __init__(self) -> None:
+        """Nothing is wanted."""
+        self.preparing: dict[str, int] = {}  # instance: since when (ns)
+        self.ordered: dict[str, Upgrade] = {}
+
+    def next_orders(self, wanted: Iterable[Upgrade], now: int) -> list[Upgrade]:
+        """The upgrades to order now; they count as ordered until `ended`."""
+        waiting: dict[str, Upgrade] = {}
+        for upgrade in sorted(wanted, key=lambda upgrade: upgrade.instance_id):
+            if upgrade.instance_id not in self.ordered:
+                waiting.setdefault(upgrade.instance_id, upgrade)
+        self.preparing = {name: since for name, since in self.preparing.items() if name in waiting}
+        ready = [name for name, since in self.preparing.items() if now - since >= PREPARE_NS]
+        orders = [waiting[name] for name in ready[: max(0, AT_ONCE - len(self.ordered))]]
+        for upgrade in orders:
+            del self.preparing[upgrade.instance_id]
+            del waiting[upgrade.instance_id]
+            self.ordered[upgrade.instance_id] = upgrade
+        for name in waiting:
+            if len(self.preparing) >= AT_ONCE:
+                break
+            self.preparing.setdefault(name, now)
+        return orders
+
+    def ended(self, instance_id: str) -> None:
+        """The upgrade is done, or was given up."""
+        self.ordered.pop(instance_id, None)
--- a/iristrack/placement/choice.py
+++ b/iristrack/placement/choice.py
@@ -1,7 +1,7 @@
 """The choice of a server for one request.
 
-The ordinary path: the key's hash ranks the usable servers, the first two are candidates, and the one with fewer of
-this sidecar's own requests in flight wins, ties at random. The exceptions are stated where they are made.
+The ordinary path: the key's hash ranks the usable servers, the first two are candidates, and the one with fewer
+requests in flight wins, ties at random. The exceptions are stated where they are made, and in `docs/design.md`.
 """
 
 from __future__ import annotations
@@ -15,22 +15,43 @@
 from iristrack.placement.servers import Server
 
 CANDIDATES = 2
-PREFIX_LEAD = (
-    3  # a candidate that keeps the prompt's prefix may hold so many more of our requests and still win
+PIECE_TOKENS = 1024  # of a prompt, that a server reads at a time
+FETCH_SHARE = 0.2  # moving a token takes about so much of the time that reading it takes, a far one twice
+FETCH_PIECES = 0.5  # and beginning a move, in pieces read
+FIRST_LEAD = (
+    2.0  # pieces; a prefix that nobody keeps goes to the first of its ranking unless that is so much busier
 )
+SPILL_LOAD = (
+    12.0  # pieces; candidates that are busier than this share their requests with the rest of the ranking,
+)
+SPILL_GAIN = 4.0  # where that is so much less busy
 
 
 @dataclass(frozen=True, slots=True)
-class Placement:
-    """What the choice needs of a request."""
+class Prompt:
+    """What a server would have to do with a prompt before its first token."""
+
+    tokens: int  # to be read where nothing is kept
+    kept: int  # of them kept by the server
+    elsewhere: int  # the most that another server or a store keeps
+
+    @property
+    def unread(self) -> int:
+        """Tokens that have to be read there, after what is kept elsewhere has been moved."""
+        return max(0, self.tokens - max(self.kept, self.elsewhere))
+
+    @property
+    def moved(self) -> int:
+        """Tokens that are moved there."""
+        return max(0, self.elsewhere - self.kept)
 
-    key: str | None  # of the prompt's prefix; None: any two servers
-    tokens: int  # of memory that the request may come to hold
 
+def pieces_to_read(prompt: Prompt) -> int:
+    """Pieces of the prompt that the server has to read."""
+    return -(-prompt.unread // PIECE_TOKENS)
 
-def candidates(
-    servers: Collection[Server], key: str | None, rng: random.Random, count: int = CANDIDATES
-) -> list[Server]:
+
+def ranked(servers: Collection[Server], key: str | None, rng: random.Random, count: int) -> list[Server]:
     """The first servers of the key's ranking, or as many at random where there is no key."""
     if key is None:
         return rng.sample(list(servers), min(count, len(servers)))
@@ -38,29 +59,43 @@
     return heapq.nsmallest(count, servers, key=lambda server: rank_value(seed, server.hash, 1.0))
 
 
+def cost(server: Server, prompt: Prompt) -> float:
+    """How busy the server is, and what this prompt would add: in pieces of prompts and requests.
+
+    Exception: requests are counted with the pieces of their prompts that are still to be read, the other sidecars'
+    as well where they have told of them, and the prompt at hand with what the server would have to read or fetch.
+    """
+    moving = FETCH_PIECES + prompt.moved * FETCH_SHARE / PIECE_TOKENS if prompt.moved else 0.0
+    return server.load + prompt.unread / PIECE_TOKENS + moving
+
+
 def choose(
     servers: Collection[Server],
-    placement: Placement,
-    kept_tokens: Callable[[Server], int],
+    key: str | None,
+    prompt_at: Callable[[Server], Prompt],
     rng: random.Random,
 ) -> Server | None:
-    """The server to send to, None where there is none to choose from.
-
-    Exception: of two candidates, one that keeps more of the prompt wins while it holds no more than `PREFIX_LEAD`
-    requests beyond the other: reading a shared part again costs more than a short wait.
-    """
-    pair = candidates(servers, placement.key, rng)
-    if not pair:
+    """The server to send to, None where there is none to choose from."""
+    ranking = ranked(servers, key, rng, CANDIDATES)
+    if not ranking:
         return None
-    if len(pair) == 1:
-        return pair[0]
-    first, second = pair
-    kept_first = kept_tokens(first)
-    kept_second = kept_tokens(second)
-    lead_first = PREFIX_LEAD if kept_first > kept_second else 0
-    lead_second = PREFIX_LEAD if kept_second > kept_first else 0
-    load_first = first.inflight - lead_first
-    load_second = second.inflight - lead_second
-    if load_first == load_second:
-        return rng.choice(pair)
-    return first if load_first < load_second else second
+    costs = [(cost(server, prompt_at(server)), server) for server in ranking]
+    if key is not None and len(costs) > 1 and not any(_keeps(prompt_at(server)) for server in ranking):
+        # Exception: what nobody keeps yet is read by one server, and sidecars agree on which without a word.
+        costs[0] = (costs[0][0] - FIRST_LEAD, ranking[0])
+    least, best = _least(costs, rng)
+    if least <= SPILL_LOAD or len(servers) <= CANDIDATES:
+        return best
+    # Exception: where both candidates are crowded, the rest of the ranking helps.
+    others = [(cost(s, prompt_at(s)) + SPILL_GAIN, s) for s in servers if s not in ranking]
+    spill, spilled = _least(others, rng)
+    return spilled if spill < least else best
+
+
+def _keeps(prompt: Prompt) -> bool:
+    return prompt.kept > 0 or prompt.elsewhere > 0
+
+
+def _least(costs: list[tuple[float, Server]], rng: random.Random) -> tuple[float, Server]:
+    least = min(value for value, _ in costs)
+    return least, rng.choice([server for value, server in costs if value <= least])
--- a/iristrack/placement/servers.py
+++ b/iristrack/placement/servers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from iristrack.placement.ranking import hash64
 
@@ -35,11 +35,13 @@
     hash: int
     revisions: dict[str, int]  # of each model, the newest that was seen
     inflight: int = 0  # this sidecar's own requests there
-    inflight_tokens: int = 0  # what these may hold of its memory
+    unread_pieces: int = 0  # of their prompts, that it still has to read
+    others_inflight: int = 0  # and what the other sidecars told of theirs
+    others_unread_pieces: int = 0
+    preparing: bool = False  # it takes new weights next: long answers are better begun elsewhere
     avoid_until: int = 0  # ns; it failed or turned a request away
     failures: int = 0  # in a row
     gone: bool = False  # the platform's list does not hold it any more
-    kept_models: set[str] = field(default_factory=set)
 
     @property
     def instance_id(self) -> str:
@@ -55,15 +57,23 @@
         """May new requests be sent to it?"""
         return self.listed.ready and not self.gone and now >= self.avoid_until
 
-    def began(self, tokens: int) -> None:
-        """A request was sent to it."""
+    @property
+    def load(self) -> int:
+        """Requests in flight, each with the pieces of its prompt that are still to be read."""
+        return self.inflight + self.unread_pieces + self.others_inflight + self.others_unread_pieces
+
+    def began(self, pieces: int) -> None:
+        """A request was sent to it, of whose prompt it has so many pieces to read."""
         self.inflight += 1
-        self.inflight_tokens += tokens
+        self.unread_pieces += pieces
+
+    def has_read(self, pieces: int) -> None:
+        """The first token has come: these pieces are read."""
+        self.unread_pieces -= pieces
 
-    def ended(self, tokens: int) -> None:
-        """That request ended, in whatever way."""
+    def ended(self) -> None:
+        """A request ended, in whatever way."""
         self.inflight -= 1
-        self.inflight_tokens -= tokens
 
     def succeeded(self) -> None:
         """An answer came: what was held against it is forgotten."""
--- a/iristrack/simulation/register.py
+++ b/iristrack/simulation/register.py
@@ -40,6 +40,7 @@
 HEALING_NS = 10 * SECOND
 LAST_READ_LIMIT_NS = 10 * SECOND
 READER = "reader"
+STALLED_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +61,7 @@
         ("wipe", 4),
         ("cut_one_way", 3),
         ("cut_two_ways", 3),
+        ("stall", 2),
         ("slow_disk", 2),
         ("refused_writes", 2),
         ("client_crash", 2),
@@ -101,7 +103,7 @@
             scenario.planted,
         )
         self.acceptors = [AcceptorHost(member, self._around) for member in members]
-        self.clients = [Client(f"client{index}", self._around) for index in range(scenario.clients)]
+        self.clients = [Client(f"proposer{index}", self._around) for index in range(scenario.clients)]
         self._kinds = [kind for kind, _ in scenario.fault_weights]
         self._weights = [weight for _, weight in scenario.fault_weights]
         self._cuts: list[tuple[str, str]] = []
@@ -183,6 +185,15 @@
             self.network.cut(*pair)
         self._later(lambda: [self.network.mend(*pair) for pair in pairs])
 
+    def _inject_stall(self) -> bool:
+        """Hold back, each for a time of its own, about half of the links from clients to acceptors."""
+        for client in self.clients:
+            for host in self.acceptors:
+                if self._rng.random() < STALLED_SHARE:
+                    until = self.queue.now + self._rng.randint(1, self.scenario.longest_fault_ns)
+                    self.network.stall(client.name, host.name, until)
+        return True
+
     def _inject_slow_disk(self) -> bool:
         host = self._rng.choice(self.acceptors)
         host.sync_ns = SLOW_SYNC_NS
--- a/iristrack/simulation/register_events.py
+++ b/iristrack/simulation/register_events.py
@@ -62,6 +62,7 @@
         self._figures = figures
         self._receivers: dict[str, Callable[[str, Any], None]] = {}
         self._cuts: Counter[tuple[str, str]] = Counter()
+        self._stalls: dict[tuple[str, str], int] = {}
         self._faultless_nodes: frozenset[str] = frozenset()
 
     def attach(self, node: str, receive: Callable[[str, Any], None]) -> None:
@@ -80,6 +81,10 @@
         """Take back one cut."""
         self._cuts[sender, receiver] -= 1
 
+    def stall(self, sender: str, receiver: str, until_ns: int) -> None:
+        """Hold back what the sender sends to the receiver until this time."""
+        self._stalls[sender, receiver] = until_ns
+
     def send(self, sender: str, receiver: str, message: Any) -> None:
         """Send one message."""
         faults = self._faults_between(sender, receiver)
@@ -97,7 +102,8 @@
         return self.faults
 
     def _deliver(self, sender: str, receiver: str, message: Any, faults: NetworkFaults) -> None:
-        arrival = self._queue.now + self._draw_delay(faults)
+        departure = max(self._queue.now, self._stalls.get((sender, receiver), 0))
+        arrival = departure + self._draw_delay(faults)
         self._queue.add(arrival, lambda: self._receivers[receiver](sender, message))
 
     def _draw_delay(self, faults: NetworkFaults) -> int:
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -80,7 +80,8 @@
     MessageKind(11, messages.VersionsValue),
     MessageKind(12, messages.DutyValue),
     MessageKind(13, messages.MembersValue),
-    MessageKind(14, messages.BusyServers),
+    MessageKind(14, messages.BusyServers, version=2),
+    MessageKind(15, messages.ServerLoads),
 )
 
 
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -187,11 +187,40 @@
     members: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceRevision:
+    """The revision of a model's weights that a server holds."""
+
+    instance: str
+    model: str
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class BusyServers:
-    """Servers that are taking new weights just now: they turn requests away until they are done."""
+    """Servers that take new weights: `instances` turn requests away until they are done, `preparing` are next."""
 
     instances: tuple[str, ...] = ()
+    preparing: tuple[str, ...] = ()  # long answers are better begun elsewhere
+    taken: tuple[InstanceRevision, ...] = ()  # what servers were just seen to hold
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """What one or more sidecars have under way at a server."""
+
+    instance: str
+    requests: int
+    pieces: int  # of prompts, that the server still has to read
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoads:
+    """All that the sender's side has under way; each message takes the place of the sender's earlier one."""
+
+    node: str
+    count: int
+    loads: tuple[ServerLoad, ...] = ()
 
 
 Message = (
@@ -209,4 +238,5 @@
     | DutyValue
     | MembersValue
     | BusyServers
+    | ServerLoads
 )
--- a/tests/state/test_sync_thread.py
+++ b/tests/state/test_sync_thread.py
@@ -73,8 +73,9 @@
         self.turn()
 
     def turn(self) -> None:
-        self.scheduler._stopped = False
+        """Turn the loop until it is stopped, which may have been done already."""
         self.scheduler.run()
+        self.scheduler._stopped = False
 
 
 @pytest.fixture
@@ -193,7 +194,8 @@
     assert host.outcomes == [("over", False)]
     store.let.set()
     host.run_until_told("last", cell("last"))
-    assert host.outcomes[-2:] == [("small", True), ("last", True)]
+    host.run_until_told("room", CellRecord("over", NO_BALLOT, NO_BALLOT, value))
+    assert host.outcomes[-3:] == [("small", True), ("last", True), ("room", True)]
 
 
 def test_a_failing_callback_costs_no_other(host: Host, store: SlowStore) -> None:
