--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -18,7 +18,7 @@
 
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000 * NS_PER_MS
-RETRY_AFTER_S = 0.25  # told to a client whose request has not run
+RETRY_AFTER_S = 0.4  # told to a client whose request has not run
 LEAST_LEFT_NS = 20 * NS_PER_MS  # with less time left nothing is sent any more
 LEAST_FETCH_TOKENS = 64  # fewer are read faster than they are moved
 SHORT_OUTPUT_TOKENS = 32  # an answer of so many tokens is done soon
--- a/iristrack/dataplane/kept_prompts.py
+++ b/iristrack/dataplane/kept_prompts.py
@@ -6,12 +6,13 @@
 from iristrack.dataplane.state import PlaneState
 from iristrack.http1 import messages as http
 from iristrack.http1.fetching import Caller
-from iristrack.prefix_index.answers import MalformedAnswer, parse_events
+from iristrack.prefix_index.answers import MalformedAnswer, parse_events, parse_list
 from iristrack.runtime.scheduler import Cancelled, Task, clock
 
 NS_PER_MS = 1_000_000
 HOLD_MS = 1000  # the longest wait that holders allow; under 200 ms a call would be priced as a probe
 CALL_NS = (HOLD_MS + 1500) * NS_PER_MS
+LIST_NS = 5000 * NS_PER_MS  # between two calls for all that a holder keeps, where events were lost
 PAUSE_NS = 500 * NS_PER_MS  # after a call that failed
 CHECK_NS = 500 * NS_PER_MS  # between two looks at which holders there are
 
@@ -49,15 +50,33 @@
         caller = Caller(self.plane.scheduler, split_address(address))
         index = self.plane.index
         try:
+            listed_at = 0
             while True:
-                target = b"/kv-events?since=%d" % index.cursor(address).since
                 try:
-                    answer = caller.call(b"GET", target, b"Wait-Ms: %d\r\n" % HOLD_MS, b"", clock() + CALL_NS)
-                    if answer.head.status != 200:
-                        raise MalformedAnswer(f"status {answer.head.status}")
-                    index.apply_events(address, parse_events(answer.body), clock())
+                    self._take_events(caller, address)
+                    if index.uncertain_since(address) is not None and clock() - listed_at > LIST_NS:
+                        listed_at = clock()
+                        self._take_list(caller, address)
                 except (OSError, http.Malformed, http.Truncated, MalformedAnswer):
                     self.plane.scheduler.sleep(PAUSE_NS)
         except Cancelled:
             caller.close()
             raise
+
+    def _take_events(self, caller: Caller, address: str) -> None:
+        index = self.plane.index
+        target = b"/kv-events?since=%d" % index.cursor(address).since
+        answer = _call(caller, target, b"Wait-Ms: %d\r\n" % HOLD_MS)
+        index.apply_events(address, parse_events(answer.body), clock())
+
+    def _take_list(self, caller: Caller, address: str) -> None:
+        """All that the holder keeps: priced, and asked for only where events were lost, as after a start."""
+        answer = _call(caller, b"/kv-list", b"")
+        self.plane.index.apply_list(address, parse_list(answer.body), clock())
+
+
+def _call(caller: Caller, target: bytes, lines: bytes) -> http.Message:
+    answer = caller.call(b"GET", target, lines, b"", clock() + CALL_NS)
+    if answer.head.status != 200:
+        raise MalformedAnswer(f"status {answer.head.status}")
+    return answer
--- a/iristrack/placement/choice.py
+++ b/iristrack/placement/choice.py
@@ -25,6 +25,7 @@
     12.0  # pieces; candidates that are busier than this share their requests with the rest of the ranking,
 )
 SPILL_GAIN = 4.0  # where that is so much less busy
+MOST_LOAD = 64.0  # pieces; a server that is busier would begin a request after its client has given it up
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +76,7 @@
     prompt_at: Callable[[Server], Prompt],
     rng: random.Random,
 ) -> Server | None:
-    """The server to send to, None where there is none to choose from."""
+    """The server to send to; None where there is none to choose from, or all are too busy to begin it in time."""
     ranking = ranked(servers, key, rng, CANDIDATES)
     if not ranking:
         return None
@@ -85,10 +86,12 @@
         costs[0] = (costs[0][0] - FIRST_LEAD, ranking[0])
     least, best = _least(costs, rng)
     if least <= SPILL_LOAD or len(servers) <= CANDIDATES:
-        return best
+        return best if least <= MOST_LOAD else None
     # Exception: where both candidates are crowded, the rest of the ranking helps.
     others = [(cost(s, prompt_at(s)) + SPILL_GAIN, s) for s in servers if s not in ranking]
     spill, spilled = _least(others, rng)
+    if min(spill, least) > MOST_LOAD:
+        return None
     return spilled if spill < least else best
 
 
--- a/iristrack/simulation/register.py
+++ b/iristrack/simulation/register.py
@@ -41,6 +41,7 @@
 LAST_READ_LIMIT_NS = 10 * SECOND
 READER = "reader"
 STALLED_SHARE = 0.5
+WIPE_AFTER_STALL_NS = 100 * MILLISECOND
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,6 +195,13 @@
                     self.network.stall(client.name, host.name, until)
         return True
 
+    def _inject_stall_and_wipe(self) -> bool:
+        """Stall links, and take a disk while answers to what was sent before are still under way."""
+        self._inject_stall()
+        pause = self._rng.randint(1, WIPE_AFTER_STALL_NS)
+        self.queue.add(self.queue.now + pause, self._inject_wipe)
+        return True
+
     def _inject_slow_disk(self) -> bool:
         host = self._rng.choice(self.acceptors)
         host.sync_ns = SLOW_SYNC_NS
--- /dev/null
+++ b/tests/register/test_acceptor.py
@@ -0,0 +1,174 @@
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from iristrack.register import RECOVERY_KEY, Acceptor, Cell, CellRecord
+from iristrack.wire.messages import NO_BALLOT, Accept, Ballot, Prepare
+
+KEY = "config"
+LOW, MIDDLE, HIGH = Ballot(1, "p"), Ballot(2, "p"), Ballot(3, "p")
+
+
+def acceptor(cells: dict[str, Cell] | None = None, voting: bool = True) -> Acceptor:
+    return Acceptor("core0", "disk1", cells or {}, voting, keys=(KEY,))
+
+
+def accept(ballot: Ballot, incarnation: str = "", value: bytes = b"v") -> Accept:
+    return Accept(7, KEY, ballot, incarnation, value)
+
+
+def test_a_promise_echoes_the_call_and_tells_what_was_accepted() -> None:
+    outcome = acceptor({KEY: Cell(LOW, LOW, b"old")}).handle_prepare(Prepare(9, KEY, MIDDLE))
+    assert outcome.record == CellRecord(KEY, MIDDLE, LOW, b"old")
+    reply = outcome.reply
+    assert (reply.call, reply.key, reply.acceptor, reply.incarnation) == (9, KEY, "core0", "disk1")
+    assert (reply.granted, reply.promised, reply.accepted, reply.value) == (True, MIDDLE, LOW, b"old")
+
+
+def test_a_lower_ballot_is_refused_without_a_write_and_told_why() -> None:
+    core = acceptor({KEY: Cell(HIGH)})
+    for outcome in (core.handle_prepare(Prepare(1, KEY, MIDDLE)), core.handle_accept(accept(MIDDLE))):
+        assert outcome.record is None
+        assert not outcome.reply.granted
+        assert outcome.reply.promised == HIGH
+
+
+def test_of_equal_rounds_the_greater_proposer_name_is_later() -> None:
+    core = acceptor({KEY: Cell(Ballot(2, "b"))})
+    assert not core.handle_prepare(Prepare(1, KEY, Ballot(2, "a"))).reply.granted
+    assert core.handle_prepare(Prepare(1, KEY, Ballot(2, "c"))).reply.granted
+
+
+def test_a_repeated_prepare_is_granted_again_with_its_record() -> None:
+    core = acceptor()
+    first = core.handle_prepare(Prepare(1, KEY, LOW))
+    assert core.handle_prepare(Prepare(1, KEY, LOW)) == first
+
+
+def test_memory_runs_ahead_of_the_disk() -> None:
+    core = acceptor()
+    core.handle_prepare(Prepare(1, KEY, HIGH))  # its record is not written yet
+    assert not core.handle_accept(accept(MIDDLE)).reply.granted
+
+
+def test_an_accept_is_recorded_with_its_ballot_as_promise() -> None:
+    outcome = acceptor({KEY: Cell(LOW)}).handle_accept(accept(MIDDLE, "disk1", b"new"))
+    assert outcome.record == CellRecord(KEY, MIDDLE, MIDDLE, b"new")
+    assert outcome.reply.granted
+
+
+def test_an_accept_for_another_incarnation_is_refused() -> None:
+    outcome = acceptor({KEY: Cell(MIDDLE)}).handle_accept(accept(MIDDLE, "disk0"))
+    assert outcome.record is None
+    assert not outcome.reply.granted
+
+
+def test_an_accept_without_incarnation_goes_by_its_ballot() -> None:
+    core = acceptor({KEY: Cell(MIDDLE)})
+    assert not core.handle_accept(accept(LOW)).reply.granted
+    assert core.handle_accept(accept(HIGH)).reply.granted
+
+
+def test_helping_a_recovery_changes_the_incarnation_that_is_told() -> None:
+    core = acceptor()
+    before = core.incarnation
+    announced = core.handle_prepare(Prepare(1, RECOVERY_KEY, LOW))
+    assert announced.record == CellRecord(RECOVERY_KEY, LOW, NO_BALLOT, b"")
+    assert announced.reply.incarnation == core.incarnation != before
+    assert not core.handle_accept(accept(HIGH, before)).reply.granted
+    assert core.handle_prepare(Prepare(2, KEY, LOW)).reply.incarnation == core.incarnation
+
+
+def test_the_incarnation_told_survives_a_restart() -> None:
+    core = acceptor()
+    core.handle_prepare(Prepare(1, RECOVERY_KEY, LOW))
+    restarted = acceptor({RECOVERY_KEY: core.cell(RECOVERY_KEY)})
+    assert restarted.incarnation == core.incarnation
+
+
+def test_nothing_is_accepted_on_the_key_of_recoveries() -> None:
+    assert not acceptor().handle_accept(Accept(1, RECOVERY_KEY, HIGH, "", b"v")).reply.granted
+
+
+def assert_gives_no_vote(core: Acceptor, key: str) -> None:
+    for outcome in (
+        core.handle_prepare(Prepare(1, key, HIGH)),
+        core.handle_accept(Accept(1, key, HIGH, "", b"v")),
+    ):
+        assert outcome.record is None
+        assert not outcome.reply.granted
+        assert outcome.reply.promised == NO_BALLOT
+
+
+def test_a_non_voting_acceptor_gives_no_vote() -> None:
+    core = acceptor({KEY: Cell(LOW, LOW, b"v")}, voting=False)
+    assert_gives_no_vote(core, KEY)
+    assert_gives_no_vote(core, RECOVERY_KEY)
+
+
+def test_an_unknown_key_gets_no_vote() -> None:
+    assert_gives_no_vote(acceptor(), "unheard")
+
+
+def test_after_a_failed_write_no_vote_is_given() -> None:
+    core = acceptor()
+    core.write_failed()
+    assert_gives_no_vote(core, KEY)
+
+
+BALLOTS = st.builds(Ballot, st.integers(0, 6), st.sampled_from(["", "a", "b"]))
+
+
+class AcceptorMachine(RuleBasedStateMachine):
+    """Whatever comes, with crashes that keep only what was written: promises only rise and bind."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.disk: dict[str, Cell] = {}
+        self.unsynced: list[tuple[CellRecord | None, Ballot]] = []
+        self.core = acceptor()
+        self.released = NO_BALLOT  # the highest ballot that an answer on its way has bound us to
+
+    def submit(self, outcome, ballot: Ballot) -> None:
+        assert (outcome.record is not None) == outcome.reply.granted
+        if outcome.reply.granted:
+            assert ballot >= self.released
+            self.unsynced.append((outcome.record, ballot))
+        else:
+            assert outcome.reply.promised >= self.released
+
+    @rule(ballot=BALLOTS)
+    def prepare(self, ballot: Ballot) -> None:
+        self.submit(self.core.handle_prepare(Prepare(1, KEY, ballot)), ballot)
+
+    @rule(ballot=BALLOTS, incarnation=st.sampled_from(["", "disk1", "disk0"]))
+    def accept(self, ballot: Ballot, incarnation: str) -> None:
+        outcome = self.core.handle_accept(accept(ballot, incarnation))
+        assert not (outcome.reply.granted and incarnation == "disk0")
+        self.submit(outcome, ballot)
+
+    @rule()
+    def sync_one(self) -> None:
+        if self.unsynced:
+            record, ballot = self.unsynced.pop(0)
+            self.disk[record.key] = Cell(record.promised, record.accepted, record.value)
+            self.released = max(self.released, ballot)
+
+    @rule()
+    def crash_and_restart(self) -> None:
+        self.unsynced = []
+        self.core = acceptor(self.disk)
+
+    @invariant()
+    def memory_is_bound_by_all_released_answers(self) -> None:
+        cell = self.core.cell(KEY)
+        assert cell.promised >= self.released
+        assert cell.accepted <= cell.promised
+
+
+TestAcceptorMachine = AcceptorMachine.TestCase
+TestAcceptorMachine.settings = settings(
+    derandomize=True, max_examples=100, stateful_step_count=30, deadline=None, database=None
+)
