--- a/iristrack/controlplane/distribution.py
+++ b/iristrack/controlplane/distribution.py
@@ -16,7 +16,7 @@
     def __init__(self, broadcast_to_core: Callable[[Update], None]) -> None:
         """`broadcast_to_core` sends to the other core members."""
         self.topics = TopicTable()
-        self.subscribers: set[PeerConnection] = set()
+        self.subscribers: dict[PeerConnection, bool] = {}  # whether changes are pushed
         self.broadcast_to_core = broadcast_to_core
         self.on_learned: list[Callable[[Update], None]] = []
 
@@ -33,15 +33,16 @@
         if not self.topics.learn(update):
             return False
         frame = encode(update)
-        for subscriber in list(self.subscribers):
-            subscriber.send_frame(frame)
+        for subscriber, push in list(self.subscribers.items()):
+            if push:
+                subscriber.send_frame(frame)
         for call in self.on_learned:
             call(update)
         return True
 
     def subscribe(self, connection: PeerConnection, message: Subscribe) -> None:
         """Tell a new subscriber what it has missed, and everything from now on."""
-        self.subscribers.add(connection)
+        self.subscribers[connection] = message.push
         self._catch_up(connection, message.known)
 
     def on_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
@@ -55,4 +56,4 @@
 
     def forget(self, connection: PeerConnection) -> None:
         """The connection has ended."""
-        self.subscribers.discard(connection)
+        self.subscribers.pop(connection, None)
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -10,6 +10,7 @@
 
 from iristrack.controlplane import changes
 from iristrack.controlplane.distribution import Distribution
+from iristrack.controlplane.list_poller import ListPoller
 from iristrack.controlplane.load_hub import LoadHub
 from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
 from iristrack.controlplane.register_host import RegisterHost
@@ -112,6 +113,7 @@
         elif settings.bootstrap and self.address in self._seeds():
             self.register.form(tuple(sorted(self._seeds())), self._tell_members)
         self._follow_members()
+        ListPoller(self.scheduler, settings.provider_api, self.distribution, self._is_first)
         self.scheduler.spawn("learner", self._learn_loop)
 
     def run(self, signals: socket.socket) -> None:
@@ -146,6 +148,11 @@
         wanted = set(self.register.members) or self._seeds()
         self.dialers.follow(wanted - {self.address})
 
+    def _is_first(self) -> bool:
+        """Is this the first of the members that it is connected with?"""
+        connected = [address for address, dialer in self.dialers.dialers.items() if dialer.connected]
+        return all(self.address < address for address in connected)
+
     def _tell_members(self) -> None:
         members = MembersValue(FIRST_MEMBERS, self.register.members)
         self.distribution.publish(Update(topics.MEMBERS, members.sequence, encode_value(members)))
--- a/iristrack/controlplane/weights.py
+++ b/iristrack/controlplane/weights.py
@@ -13,22 +13,20 @@
 from iristrack.http1 import messages as http
 from iristrack.http1.fetching import Caller
 from iristrack.placement.servers import ListedServer
-from iristrack.platform_api.server_list import ListUnavailable, fetch_list
+from iristrack.platform_api.server_list import from_message
 from iristrack.register import Committed, Overtaken, Rejected
 from iristrack.relay import topics
 from iristrack.runtime.scheduler import Scheduler, clock
 from iristrack.settings import Settings
 from iristrack.wire.codec import encode
 from iristrack.wire.dialing import parse_address
-from iristrack.wire.messages import BusyServers, DutyValue, InstanceRevision, Update
+from iristrack.wire.messages import BusyServers, DutyValue, InstanceRevision, ServersValue, Update
 from iristrack.wire.values import decode_value
 
 NS_PER_MS = 1_000_000
 TICK_NS = 100 * NS_PER_MS
 CLAIM_NS = 800 * NS_PER_MS
 CALL_NS = 700 * NS_PER_MS
-POLL_BUSY_NS = 500 * NS_PER_MS  # between two lists while weights are brought to servers,
-POLL_IDLE_NS = 2000 * NS_PER_MS  # and while all servers hold the named ones
 REPORT_NS = 200 * NS_PER_MS
 GIVE_UP_NS = 12_000 * NS_PER_MS  # an upgrade that takes longer is begun anew
 FENCE_SHIFT = 24  # the sequence of a holder's updates: its fence, then a counter
@@ -62,16 +60,14 @@
         self._told: BusyServers | None = None
         self._done: dict[tuple[str, str], int] = {}  # (instance, model): revision that its report told
         self._updates = 0
-        self._list_at = 0
-        provider = settings.provider_api
-        if provider is not None:
-            self._caller = Caller(scheduler, (provider.address.host, provider.address.port))
-            scheduler.spawn("weights duty", self._run)
+        scheduler.spawn("weights duty", self._run)
 
     def on_update(self, update: Update) -> None:
-        """The duty's value was told of."""
+        """The duty's value, or the list of servers, was told of."""
         if update.topic == topics.WEIGHTS_DUTY:
             self.lease.saw(decode_value(update.value, DutyValue), clock())
+        elif update.topic == topics.SERVERS:
+            self._take_list(update.value)
 
     def _run(self) -> None:
         while True:
@@ -103,21 +99,17 @@
 
     def _work(self) -> None:
         now = clock()
-        if now >= self._list_at:
-            self._poll_list()
         wanted = [u for u in wanted_upgrades(self.servers, self.named()) if not self._is_done(u)]
-        self._list_at = min(self._list_at, now + POLL_BUSY_NS) if wanted else self._list_at
         orders = self.roll.next_orders(wanted, now)
         self._tell_busy()
         for upgrade in orders:
             self.scheduler.spawn("upgrade", self._upgrade, upgrade)
 
-    def _poll_list(self) -> None:
-        try:
-            self.servers = fetch_list(self._caller, clock() + CALL_NS)
-        except ListUnavailable as fault:
-            self.log.warning("no server list", reason=str(fault))
-        self._list_at = clock() + POLL_IDLE_NS
+    def _take_list(self, value: bytes) -> None:
+        told = decode_value(value, ServersValue)
+        if told is None:
+            return
+        self.servers = from_message(told)
         listed = {server.instance_id for server in self.servers}
         self._done = {key: revision for key, revision in self._done.items() if key[0] in listed}
 
--- a/iristrack/dataplane/attempts.py
+++ b/iristrack/dataplane/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from collections.abc import Iterator
 from enum import Enum
@@ -14,6 +15,7 @@
 from iristrack.runtime.scheduler import READ, WOKEN, WRITE, Scheduler, clock
 
 NS_PER_MS = 1_000_000
+NS_PER_S = 1_000 * NS_PER_MS
 CONNECT_NS = 400 * NS_PER_MS
 USER_TIMEOUT_MS = 700  # unacknowledged bytes for so long end a connection to a server
 KEEPALIVE_S = 1  # and silence of its machine is noticed by probes
@@ -21,6 +23,7 @@
 ATTEMPT_ID = b"x-iristrack-attempt-id"
 NOT_EXECUTED = b"x-iristrack-not-executed"
 SEAL = b"x-iristrack-server-seal"
+_KEEP_ALIVE = re.compile(rb"timeout=([0-9]{1,6})")
 
 
 class AttemptFailed(Exception):
@@ -128,7 +131,7 @@
         if link is None:
             return
         if self.head.keeps_alive and link.reader.empty:
-            self.links.put_back(link)
+            self.links.put_back(link, _keep_alive_ns(self.head))
         else:
             self.links.close(link)
 
@@ -196,3 +199,9 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def _keep_alive_ns(head: http.Head) -> int | None:
+    """How long the server keeps the connection idle, where it says so."""
+    found = _KEEP_ALIVE.search(head.fields.get(b"keep-alive", b""))
+    return int(found[1]) * NS_PER_S if found else None
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from iristrack.configuration.document import parse_configuration
+from iristrack.dataplane.discovery import ListFollower
 from iristrack.dataplane.load_reports import LoadReporter
 from iristrack.dataplane.state import ActiveConfiguration, ModelVersion, PlaneState
 from iristrack.relay import topics
@@ -34,7 +35,7 @@
 class ControlLink:
     """Connections to the core, and what their updates change here."""
 
-    def __init__(self, plane: PlaneState, log) -> None:
+    def __init__(self, plane: PlaneState, servers: ListFollower, log) -> None:
         """Dials the seeds at once."""
         self.plane = plane
         self.log = log
@@ -42,6 +43,7 @@
         self.process = secrets.token_hex(6)
         self.heartbeats = 0
         self.zones: dict[PeerConnection, str] = {}  # of the core members at the other ends
+        self._hub: PeerConnection | None = None
         self.loads = LoadReporter(plane, self)
         self._busy: set[str] = set()
         self._handlers: dict[str, Callable[[bytes], None]] = {
@@ -49,6 +51,7 @@
             topics.VERSIONS: self._on_versions,
             topics.MEMBERS: self._on_members,
             topics.BUSY_SERVERS: self._on_busy_servers,
+            topics.SERVERS: servers.on_update,
         }
         self.dialers = DialerSet(
             plane.scheduler, self._hello, self._heartbeat, self._subscribe, self._on_message
@@ -74,7 +77,17 @@
         return Heartbeat(self.plane.settings.node_name, self.process, self.heartbeats, self.topics.versions())
 
     def _subscribe(self, connection: PeerConnection) -> None:
-        connection.send(Subscribe(self.topics.versions()))
+        """Have the hub push what changes; the others only send what a heartbeat shows to be missed."""
+        push = connection is self.hub()
+        connection.send(Subscribe(self.topics.versions(), push))
+
+    def _choose_hub(self) -> None:
+        hub = self.hub()
+        if hub is not self._hub:
+            before, self._hub = self._hub, hub
+            for connection in (before, hub):
+                if connection is not None and not connection.closed:
+                    self._subscribe(connection)
 
     def _on_message(self, connection: PeerConnection, message: Message) -> None:
         if isinstance(message, Update) and self.topics.learn(message):
@@ -85,6 +98,7 @@
             self.loads.on_others(message)
         elif isinstance(message, Hello):
             self.zones[connection] = message.zone
+            self._choose_hub()
 
     def hub(self) -> PeerConnection | None:
         """The core member that sums loads for this zone: one in the zone where there is one, else any."""
@@ -128,7 +142,8 @@
         for instance in busy | self._busy:
             server = self.plane.servers.servers.get(instance)
             if server is not None:
-                server.avoid_until = now + BUSY_NS if instance in busy else 0
+                server.busy = instance in busy
+                server.avoid_until = now + BUSY_NS if server.busy else 0
         self._busy = busy
         for server in self.plane.servers.servers.values():
             server.preparing = server.instance_id in told.preparing
--- a/iristrack/dataplane/program.py
+++ b/iristrack/dataplane/program.py
@@ -11,7 +11,7 @@
 
 from iristrack.dataplane.clients import ClientListener
 from iristrack.dataplane.control_link import ControlLink
-from iristrack.dataplane.discovery import ListPoller
+from iristrack.dataplane.discovery import ListFollower
 from iristrack.dataplane.exchange import answer_request
 from iristrack.dataplane.kept_prompts import KeptPromptWatcher
 from iristrack.dataplane.state import PlaneState
@@ -60,8 +60,7 @@
             self.scheduler, _pair(bind.front_http), self._exchange, self.most_clients
         )
         self.plane.links.start()
-        self.control = ControlLink(self.plane, self.log)
-        ListPoller(self.plane)
+        self.control = ControlLink(self.plane, ListFollower(self.plane), self.log)
         KeptPromptWatcher(self.plane)
         self.scheduler.call_at(clock() + REPORT_NS, self._report)
 
--- a/iristrack/http1/connection.py
+++ b/iristrack/http1/connection.py
@@ -16,7 +16,7 @@
 class Link:
     """One client-side connection, and the reader of its answers."""
 
-    __slots__ = ("fd", "idle_since", "reader", "scheduler", "sock", "target")
+    __slots__ = ("fd", "idle_since", "keep_ns", "reader", "scheduler", "sock", "target")
 
     def __init__(
         self,
@@ -33,6 +33,7 @@
         self.target = target
         self.reader = http.Reader(response=True, limit=limit, whole=whole)
         self.idle_since = 0
+        self.keep_ns: int | None = None  # how long the peer said that it keeps the connection idle
 
     def write(self, data: bytes, deadline: int) -> None:
         """Write it all."""
--- a/iristrack/net/links.py
+++ b/iristrack/net/links.py
@@ -78,7 +78,7 @@
                 if link.idle_since + REST_NS > now:
                     with suppress(TimeoutError):
                         self.scheduler.wait(-1, 0, link.idle_since + REST_NS)
-                usable = link.idle_since + self.idle_ns > now and link.quiet()
+                usable = link.idle_since + self._idle_ns(link) > now and link.quiet()
             except BaseException:
                 self.close(link)
                 raise
@@ -100,13 +100,17 @@
             self.open -= 1
             raise
 
-    def put_back(self, link: Link) -> None:
-        """It can be used again."""
+    def _idle_ns(self, link: Link) -> int:
+        return self.idle_ns if link.keep_ns is None else int(link.keep_ns * IDLE_USED)
+
+    def put_back(self, link: Link, keep_ns: int | None = None) -> None:
+        """It can be used again; `keep_ns` is how long the server said that it keeps it idle."""
         target = link.target
         if self._closing or self.targets.get(target.id) is not target or target.away_since is not None:
             self.close(link)
             return
         link.idle_since = clock()
+        link.keep_ns = keep_ns
         target.idle.append(link)
 
         def broken() -> None:
@@ -153,10 +157,10 @@
 
     def _sweep(self) -> None:
         """Close what has been idle for almost as long as the servers keep it."""
-        oldest = clock() - self.idle_ns
+        now = clock()
         for target in self.targets.values():
-            while target.idle and target.idle[0].idle_since <= oldest:
-                self._retire(target, target.idle[0])
+            for link in [link for link in target.idle if link.idle_since + self._idle_ns(link) <= now]:
+                self._retire(target, link)
         self.scheduler.call_at(clock() + SWEEP_NS, self._sweep)
 
     # ---- where each server is
--- a/iristrack/placement/servers.py
+++ b/iristrack/placement/servers.py
@@ -38,6 +38,7 @@
     unread_pieces: int = 0  # of their prompts, that it still has to read
     others_inflight: int = 0  # and what the other sidecars told of theirs
     others_unread_pieces: int = 0
+    busy: bool = False  # it takes new weights, and is avoided until it has them
     preparing: bool = False  # it takes new weights next: long answers are better begun elsewhere
     avoid_until: int = 0  # ns; it failed or turned a request away
     failures: int = 0  # in a row
@@ -94,6 +95,9 @@
         """An answer, a report or the list told the revision of a model's weights; they never go back."""
         if revision > self.revisions.get(model, 0):
             self.revisions[model] = revision
+            if self.busy:
+                self.busy = False
+                self.avoid_until = 0
 
 
 class ServerTable:
--- a/iristrack/platform_api/server_list.py
+++ b/iristrack/platform_api/server_list.py
@@ -9,6 +9,7 @@
 from iristrack.http1 import messages as http
 from iristrack.http1.fetching import Caller
 from iristrack.placement.servers import ListedServer
+from iristrack.wire.messages import ModelRevision, ServerEntry, ServersValue
 
 MOST_PAGES = 200
 READY = "ready"
@@ -48,6 +49,40 @@
     )
 
 
+def to_message(entries: list[ListedServer]) -> ServersValue:
+    """The list as it is handed on between processes."""
+    return ServersValue(
+        tuple(
+            ServerEntry(
+                e.instance_id,
+                e.service,
+                e.address,
+                e.zone,
+                e.ready,
+                e.capacity,
+                tuple(ModelRevision(model, revision) for model, revision in e.models),
+            )
+            for e in entries
+        )
+    )
+
+
+def from_message(value: ServersValue) -> list[ListedServer]:
+    """The list as it was handed on."""
+    return [
+        ListedServer(
+            e.instance,
+            e.service,
+            e.address,
+            e.zone,
+            e.ready,
+            e.capacity,
+            tuple((m.model, m.revision) for m in e.models),
+        )
+        for e in value.servers
+    ]
+
+
 def fetch_list(caller: Caller, deadline: int) -> list[ListedServer]:
     """All pages; raises `ListUnavailable` where one is missing, for half a list would tell of servers that are gone."""
     entries: list[ListedServer] = []
--- a/iristrack/relay/topics.py
+++ b/iristrack/relay/topics.py
@@ -11,6 +11,7 @@
 MEMBERS = "members"
 WEIGHTS_DUTY = "duty/weights"
 BUSY_SERVERS = "busy-servers"
+SERVERS = "servers"
 REGISTERS = (CONFIGURATION, VERSIONS, MEMBERS, WEIGHTS_DUTY)
 MOST_TOPICS = 64
 
@@ -32,6 +33,11 @@
         self._updates[update.topic] = update
         return True
 
+    def next_sequence(self, topic: str) -> int:
+        """A sequence above the newest known one."""
+        known = self._updates.get(topic)
+        return 1 if known is None else known.sequence + 1
+
     def get(self, topic: str) -> Update | None:
         """The newest update of a topic."""
         return self._updates.get(topic)
--- a/iristrack/simulation/register_nodes.py
+++ b/iristrack/simulation/register_nodes.py
@@ -39,7 +39,7 @@
     """Faults planted in the code under test, to show that the referee finds them."""
 
     proposer: type[Proposer] = Proposer
-    acceptor: type[Acceptor] = Acceptor
+    recovery: type[Recovery] = Recovery
     reply_before_sync: bool = False
     vote_without_recovery: bool = False
 
@@ -139,13 +139,13 @@
             self._submit(self._acceptor.handle_accept(message), sender)
 
     def _vote(self) -> None:
-        self._acceptor = self._around.planted.acceptor(
+        self._acceptor = Acceptor(
             self.name, self.disk.incarnation, self.disk.cells, True, keys=self._around.keys
         )
 
     def _recover(self) -> None:
         self._around.figures["recoveries_begun"] += 1
-        self._recovery = Recovery(
+        self._recovery = self._around.planted.recovery(
             self.name,
             ProposerIdentity(self._draw_name()),
             self._around.members,
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -72,7 +72,7 @@
     MessageKind(3, messages.Promise),
     MessageKind(4, messages.Accept),
     MessageKind(5, messages.Accepted),
-    MessageKind(6, messages.Subscribe),
+    MessageKind(6, messages.Subscribe, version=2),
     MessageKind(7, messages.Update),
     MessageKind(8, messages.Heartbeat),
     MessageKind(9, messages.View),
@@ -82,6 +82,7 @@
     MessageKind(13, messages.MembersValue),
     MessageKind(14, messages.BusyServers, version=2),
     MessageKind(15, messages.ServerLoads),
+    MessageKind(16, messages.ServersValue),
 )
 
 
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -89,9 +89,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Subscribe:
-    """Ask for all topics, now and whenever they change; `known` spares what is there already."""
+    """Ask for all topics; `known` spares what is there already. Each message takes the place of the one before."""
 
     known: tuple[Version, ...] = ()
+    push: bool = True  # also whenever they change; otherwise only what a heartbeat shows to be missed
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,6 +224,26 @@
     loads: tuple[ServerLoad, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    """One entry of the platform's list."""
+
+    instance: str
+    service: str
+    address: str  # ip:port
+    zone: str
+    ready: bool
+    capacity: int
+    models: tuple[ModelRevision, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ServersValue:
+    """The platform's list, as one core member has fetched it for all."""
+
+    servers: tuple[ServerEntry, ...] = ()
+
+
 Message = (
     Hello
     | Prepare
@@ -239,4 +260,5 @@
     | MembersValue
     | BusyServers
     | ServerLoads
+    | ServersValue
 )
--- a/tests/register/test_proposer.py
+++ b/tests/register/test_proposer.py
@@ -76,7 +76,9 @@
 
     def change(self, name: str, change, members=MEMBERS):
         proposer = self.proposer(name, change)
-        self.pump(proposer, proposer.start(0), members)
+        effects = self.pump(proposer, proposer.start(0), members)
+        while proposer.result is None:
+            effects = self.pump(proposer, proposer.on_timer(timers(effects)[-1]), members)
         return proposer.result
 
 
@@ -169,13 +171,17 @@
 def test_a_refusal_is_definite_once_the_lost_attempt_cannot_come_back() -> None:
     group = Group()
     group.change("o", CompareAndSet(b"", b"zero"))
-    behind = group.proposer("p", CompareAndSet(b"zero", b"one"))
-    behind_effects = group.pump(behind, behind.start(0), drop=(Accept,))
-    stray = sends(behind_effects, Accept)[0]
-    # Before its accepts arrive anywhere, nothing newer is accepted: the next attempt sees a lower ballot.
-    behind._change = CompareAndSet(b"never", b"one")
-    retry(group, behind, behind_effects)
-    assert behind.result == Rejected("other value", b"zero")
+    change = CompareAndSet(b"zero", b"one")
+    proposer = group.proposer("p", change)
+    effects = group.pump(proposer, proposer.start(0), drop=(Accept,))
+    stray = sends(effects, Accept)[0]  # still under way; nobody has accepted it
+    change.expected = b"something else"
+    held_back = retry(group, proposer, effects, drop=(Accept,))
+    assert (
+        proposer.result is None
+    )  # the settled value alone is not enough: the stray accept could still count
+    group.pump(proposer, held_back)
+    assert proposer.result == Rejected("other value", b"zero")
     assert not group.answer(stray).granted
     assert group.change("q", read).value == b"zero"
 
--- /dev/null
+++ b/tests/register/test_recovery.py
@@ -0,0 +1,257 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from iristrack.register import (
+    RECOVERY_KEY,
+    Acceptor,
+    Cell,
+    CellRecord,
+    Committed,
+    Effect,
+    Finished,
+    Proposer,
+    ProposerIdentity,
+    Recovered,
+    Recovery,
+    RecoveryPace,
+    Rejected,
+    SendTo,
+    SetTimer,
+    Unchanged,
+)
+from iristrack.wire.messages import NO_BALLOT, Accept, Ballot, Prepare
+
+from .test_proposer import CompareAndSet, read
+
+KEYS = ("config", "versions")
+MEMBERS = ("core0", "core1", "core2")
+LOST = "core0"
+OLD, NEW = Ballot(3, "p"), Ballot(5, "q")
+DEADLINE = 10**12
+PACE = RecoveryPace(first_wait_ns=100, longest_wait_ns=400)
+
+
+class Group:
+    """Acceptors of which the first one has lost its disk; the test carries each message."""
+
+    def __init__(self, members: tuple[str, ...] = MEMBERS, cells: dict[str, dict[str, Cell]] | None = None):
+        self.members = members
+        held = cells or {}
+        self.acceptors = {
+            name: Acceptor(name, f"{name}-disk", held.get(name, {}), True, keys=KEYS) for name in members
+        }
+
+    def recovery(self, pace: RecoveryPace = PACE) -> Recovery:
+        return Recovery(LOST, ProposerIdentity("core0-new"), self.members, KEYS, random.Random(1), pace)
+
+    def answer(self, send: SendTo):
+        core = self.acceptors[send.member]
+        if isinstance(send.message, Prepare):
+            return core.handle_prepare(send.message).reply
+        return core.handle_accept(send.message).reply
+
+    def pump(self, decider: Recovery | Proposer, effects: list[Effect], silent=()) -> list[Effect]:
+        waiting, rest = list(effects), []
+        while waiting:
+            effect = waiting.pop(0)
+            if isinstance(effect, SendTo) and effect.member not in silent:
+                waiting.extend(decider.handle(self.answer(effect), 1))
+            else:
+                rest.append(effect)
+        return rest
+
+    def lose_disk(self) -> None:
+        self.acceptors[LOST] = Acceptor(LOST, "core0-second-disk", {}, False, keys=KEYS)
+
+    def recover(self) -> None:
+        recovery = self.recovery()
+        records = records_of(self.pump(recovery, recovery.start(0)))
+        cells = {record.key: Cell(record.promised, record.accepted, record.value) for record in records}
+        self.acceptors[LOST] = Acceptor(LOST, "core0-second-disk", cells, True, keys=KEYS)
+
+
+def records_of(effects: list[Effect]) -> tuple[CellRecord, ...]:
+    (finished,) = [effect for effect in effects if isinstance(effect, Finished)]
+    assert isinstance(finished.result, Recovered)
+    return finished.result.records
+
+
+def by_key(records: tuple[CellRecord, ...]) -> dict[str, CellRecord]:
+    return {record.key: record for record in records}
+
+
+def timer_of(effects: list[Effect]) -> int:
+    return [effect.at_ns for effect in effects if isinstance(effect, SetTimer)][-1]
+
+
+def test_the_newest_value_is_adopted_under_a_ballot_above_all_promised() -> None:
+    group = Group(
+        cells={
+            "core1": {"config": Cell(Ballot(9, "z"), OLD, b"old")},
+            "core2": {"config": Cell(NEW, NEW, b"new")},
+        }
+    )
+    recovery = group.recovery()
+    record = by_key(records_of(group.pump(recovery, recovery.start(0))))["config"]
+    assert record.value == b"new"
+    assert record.promised == record.accepted > Ballot(9, "z")
+    for other in ("core1", "core2"):
+        assert group.acceptors[other].cell("config").promised == record.promised
+
+
+def test_a_key_never_written_gets_a_promise_only() -> None:
+    group = Group()
+    recovery = group.recovery()
+    records = by_key(records_of(group.pump(recovery, recovery.start(0))))
+    assert set(records) == {RECOVERY_KEY, *KEYS}
+    for key in KEYS:
+        assert records[key].accepted == NO_BALLOT < records[key].promised
+
+
+def test_three_members_need_both_others() -> None:
+    group = Group()
+    recovery = group.recovery()
+    rest = group.pump(recovery, recovery.start(0), silent=("core2",))
+    assert not [effect for effect in rest if isinstance(effect, Finished)]
+    rest = group.pump(recovery, recovery.on_timer(timer_of(rest)))
+    assert records_of(rest)
+
+
+def test_other_recovering_members_and_the_own_one_are_not_counted() -> None:
+    group = Group(members=("core0", "core1", "core2", "core3", "core4"))
+    for name in ("core0", "core1", "core2"):
+        group.acceptors[name].write_failed()
+    recovery = group.recovery()
+    sent = recovery.start(0)
+    assert LOST not in [effect.member for effect in sent if isinstance(effect, SendTo)]
+    rest = group.pump(recovery, sent)
+    assert all(isinstance(effect, SetTimer) for effect in rest)
+    group.acceptors["core2"].voting = True
+    assert records_of(group.pump(recovery, recovery.on_timer(timer_of(rest))))
+
+
+def test_all_keys_are_read_after_the_announcement_was_granted() -> None:
+    group = Group()
+    recovery = group.recovery()
+    announced = [effect for effect in recovery.start(0) if isinstance(effect, SendTo)]
+    assert {effect.message.key for effect in announced} == {RECOVERY_KEY}
+    assert recovery.handle(group.answer(announced[0]), 1) == []
+    reads = recovery.handle(group.answer(announced[1]), 1)
+    assert {(read.member, read.message.key) for read in reads} == {
+        (member, key) for member in ("core1", "core2") for key in KEYS
+    }
+
+
+def test_a_read_answered_by_another_incarnation_is_not_counted() -> None:
+    group = Group()
+    recovery = group.recovery()
+    announced = recovery.start(0)
+    first, second = [effect for effect in announced if isinstance(effect, SendTo)]
+    recovery.handle(group.answer(first), 1)
+    reads = recovery.handle(group.answer(second), 1)
+    group.acceptors["core2"].handle_prepare(Prepare(1, RECOVERY_KEY, Ballot(70, "core4-new")))
+    assert group.pump(recovery, reads) == []
+    assert records_of(group.pump(recovery, recovery.on_timer(timer_of(announced))))
+
+
+def test_the_wait_grows_up_to_its_bound() -> None:
+    recovery = Group().recovery()
+    at = 0
+    effects = recovery.start(at)
+    waits = []
+    for _ in range(5):
+        waits.append(timer_of(effects) - at)
+        at = timer_of(effects)
+        assert recovery.on_timer(at - 1) == []
+        effects = recovery.on_timer(at)
+    assert all(base <= wait <= 2 * base for base, wait in zip((100, 200, 400, 400, 400), waits, strict=True))
+
+
+def test_two_members_are_too_few_to_recover() -> None:
+    with pytest.raises(ValueError):
+        Recovery(LOST, ProposerIdentity("n"), ("core0", "core1"), KEYS, random.Random(1))
+
+
+def test_an_accept_from_before_the_loss_is_refused_after_it() -> None:
+    group = Group()
+    ballot = Ballot(1, "p")
+    for core in group.acceptors.values():
+        core.handle_prepare(Prepare(1, "config", ballot))
+    group.lose_disk()
+    group.recover()
+    for core in group.acceptors.values():
+        for incarnation in ("", "core0-disk", core.incarnation):
+            assert not core.handle_accept(Accept(1, "config", ballot, incarnation, b"v")).reply.granted
+
+
+def test_a_value_acknowledged_by_the_lost_disk_is_still_read() -> None:
+    group = Group()
+    for name in ("core0", "core1"):
+        group.acceptors[name].handle_accept(Accept(1, "config", OLD, "", b"acknowledged"))
+    group.lose_disk()
+    group.recover()
+    reader = Proposer(
+        ProposerIdentity("r"), "config", MEMBERS, lambda _: Unchanged(), random.Random(1), DEADLINE
+    )
+    effects = group.pump(reader, reader.start(0), silent=("core1",))
+    while reader.result is None:
+        effects = group.pump(reader, reader.on_timer(timer_of(effects)), silent=("core1",))
+    assert isinstance(reader.result, Committed)
+    assert reader.result.value == b"acknowledged"
+
+
+class TrustsEveryPromise(Proposer):
+    """The check of incarnations left out."""
+
+    def _is_known(self, promise) -> bool:
+        return True
+
+
+def play_forgotten_promise(kind: type[Proposer]) -> tuple[Proposer, bytes]:
+    """Join a promise from before the loss with one from after the recovery; return the slow writer and a last read.
+
+    Between the two, a quick writer with a lower ballot commits at the recovered acceptor and another one.
+    """
+    group = Group()
+    known = {core.name: core.incarnation for core in group.acceptors.values()}
+    identity = ProposerIdentity("slow")
+    identity.incarnations = dict(known)
+    identity.saw("config", Ballot(20, ""))
+    slow = kind(identity, "config", MEMBERS, CompareAndSet(b"", b"slow"), random.Random(1), DEADLINE)
+    to_lost, under_way, _ = slow.start(0)[:3]
+    slow.handle(group.answer(to_lost), 1)
+
+    group.lose_disk()
+    group.recover()
+    quick_identity = ProposerIdentity("quick")
+    quick_identity.saw("config", Ballot(10, ""))
+    quick_identity.incarnations = {core.name: core.incarnation for core in group.acceptors.values()}
+    quick = Proposer(
+        quick_identity, "config", MEMBERS, CompareAndSet(b"", b"quick"), random.Random(2), DEADLINE
+    )
+    group.pump(quick, quick.start(1), silent=("core1",))
+    assert isinstance(quick.result, Committed)
+
+    group.pump(slow, slow.handle(group.answer(under_way), 2), silent=("core2",))
+    reader = Proposer(ProposerIdentity("reader"), "config", MEMBERS, read, random.Random(3), DEADLINE)
+    effects = group.pump(reader, reader.start(3), silent=("core0",))
+    while reader.result is None:
+        effects = group.pump(reader, reader.on_timer(timer_of(effects)), silent=("core0",))
+    effects = group.pump(slow, slow.on_timer(10**9))
+    while slow.result is None:
+        effects = group.pump(slow, slow.on_timer(timer_of(effects)))
+    return slow, reader.result.value
+
+
+def test_a_forgotten_promise_cannot_undo_a_later_commit() -> None:
+    slow, last_read = play_forgotten_promise(Proposer)
+    assert last_read == b"quick"
+    assert slow.result == Rejected("other value", b"quick")
+
+
+def test_without_the_check_of_incarnations_the_forgotten_promise_does_harm() -> None:
+    _, last_read = play_forgotten_promise(TrustsEveryPromise)
+    assert last_read == b"slow"
--- /dev/null
+++ b/tests/register/test_swarm.py
@@ -0,0 +1,120 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from iristrack.register import Proposer, Recovery
+from iristrack.simulation.register import Scenario, first_violation, main, run_seed
+from iristrack.simulation.register_events import MILLISECOND, NetworkFaults
+from iristrack.simulation.register_nodes import Planted
+from iristrack.simulation.register_referee import Referee
+
+STALLS_AND_WIPES = Scenario(
+    keys=("config",),
+    spare_core_links=True,
+    network=NetworkFaults(
+        loss_share=0.0, duplicate_share=0.0, late_share=0.0, usual_delay_ns=1 * MILLISECOND
+    ),
+    fault_interval_ns=100 * MILLISECOND,
+    longest_fault_ns=300 * MILLISECOND,
+    longest_outage_ns=2 * MILLISECOND,
+    fault_weights=(("stall_and_wipe", 1),),
+)
+
+
+@pytest.mark.parametrize(
+    ("scenario", "seeds"),
+    [
+        (Scenario(), range(200)),
+        (Scenario(acceptors=5), range(60)),
+        (STALLS_AND_WIPES, range(40)),
+    ],
+    ids=["three", "five", "stalls_and_wipes"],
+)
+def test_no_seed_violates_the_history(scenario: Scenario, seeds: range) -> None:
+    assert first_violation(scenario, seeds) is None
+
+
+def test_the_faults_happen_and_the_group_works_between_them() -> None:
+    figures = run_seed(Scenario(), 0).figures
+    for seed in range(1, 10):
+        figures += run_seed(Scenario(), seed).figures
+    for name, _ in Scenario().fault_weights:
+        assert figures[f"faults_{name}"] > 0
+    for name in ("recoveries_finished", "messages_lost", "messages_duplicated", "messages_late"):
+        assert figures[name] > 0
+    for name in ("committed", "rejected", "overtaken", "unavailable"):
+        assert figures[name] > 0
+    assert figures["committed"] > figures["unavailable"]
+
+
+def test_a_seed_gives_the_same_run_each_time() -> None:
+    assert run_seed(Scenario(), 5) == run_seed(Scenario(), 5)
+
+
+class ShortQuorum(Proposer):
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self.quorum -= 1
+
+
+class ShortRecovery(Recovery):
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self.quorum -= 1
+
+
+class TrustsEveryPromise(Proposer):
+    def _is_known(self, promise) -> bool:
+        return True
+
+
+@pytest.mark.parametrize(
+    ("scenario", "planted"),
+    [
+        (Scenario(), Planted(proposer=ShortQuorum)),
+        (Scenario(), Planted(reply_before_sync=True)),
+        (Scenario(), Planted(vote_without_recovery=True)),
+        (Scenario(), Planted(recovery=ShortRecovery)),
+        (STALLS_AND_WIPES, Planted(proposer=TrustsEveryPromise)),
+    ],
+    ids=["short_quorum", "reply_before_sync", "amnesiac", "short_recovery", "unchecked_incarnation"],
+)
+def test_a_planted_fault_is_found(scenario: Scenario, planted: Planted) -> None:
+    assert first_violation(replace(scenario, planted=planted), range(100)) is not None
+
+
+def test_the_referee_knows_a_fork_a_loss_a_step_back_and_a_refused_value() -> None:
+    referee = Referee(("fork", "loss", "back", "refused", "good"))
+    for history in referee.histories.values():
+        history.proposed(b"a", b"")
+        history.proposed(b"b", b"")
+        history.proposed(b"c", b"a")
+    fork, loss, back, refused, good = referee.histories.values()
+    good.acknowledged(b"a")
+    good.told(b"a", 0)
+    good.refused(b"b")
+    good.last_read(b"c")
+    assert referee.violations == []
+    fork.told(b"a", 0)
+    fork.told(b"b", 0)
+    loss.acknowledged(b"b")
+    loss.last_read(b"c")
+    back.told(b"a", 2)
+    refused.told(b"c", 0)
+    refused.refused(b"a")
+    assert [violation.split(":")[0] for violation in referee.violations] == [
+        "fork",
+        "loss",
+        "back",
+        "refused",
+    ]
+
+
+def test_the_command_prints_its_figures(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["--seeds", "2"]) == 0
+    figures = dict(part.split("=") for part in capsys.readouterr().out.split())
+    assert figures["seeds"] == "2"
+    assert figures["violations"] == "0"
+    assert float(figures["virtual_hours"]) > 0
