--- a/tests/configuration/test_routes.py
+++ b/tests/configuration/test_routes.py
@@ -91,6 +91,12 @@
     assert (route.label if route else None) == label
 
 
+def test_query_string_meets_no_prefix() -> None:
+    table = RouteTable(configuration_of([("a.example", "/x?/"), ("a.example", "/x/")]))
+    assert table.match("a.example", "/x?/1") is None
+    assert table.match("a.example", "/x/?/1").path_prefix == "/x/"
+
+
 def test_match_of_an_address_in_brackets() -> None:
     table = RouteTable(configuration_of([("[::1]", "/")]))
     assert table.match("[::1]:8080", "/a") is not None
