Watch each holder of kept prompts once for all, in the core

Change: each holder is watched by one core member (first of the connected ones in the ranking of its address), which tells the other members and its data planes all changes in order; a member that takes over begins with the list. The share of servers that take new weights at once follows their number.

--- a/iristrack/__main__.py
+++ b/iristrack/__main__.py
@@ -19,7 +19,7 @@
 from loguru import logger
 
 from iristrack import __version__
-from iristrack.cli import lab, state
+from iristrack.cli import lab, state, system
 from iristrack.config import Config, ConfigError, load
 from iristrack.net.door import Door
 from iristrack.net.front import HttpFront
@@ -108,8 +108,9 @@
     commands.add_parser("check-config", help="read the configuration, print what it says, start nothing")
     lab.add(commands)
     state.add(commands)
+    system.add(commands)
     chosen = parser.parse_args(arguments)
-    if chosen.command in ("lab", "state"):
+    if chosen.command in ("lab", "state", "system", "check-system"):
         return chosen.call(chosen)
     if chosen.command == "version":
         print(f"iristrack {__version__} (greenlet {metadata.version('greenlet')})")
--- /dev/null
+++ b/iristrack/controlplane/kept_prompts.py
@@ -0,0 +1,169 @@
+"""Watching what servers and stores keep, once for all: each holder is watched by one core member, which tells the rest.
+
+A holder accepts few held calls at once, so data planes never ask it themselves. The member is the first of the
+connected ones in the ranking of the holder's address; when it is lost, the next one begins with the holder's list.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from iristrack.http1 import messages as http
+from iristrack.http1.fetching import Caller
+from iristrack.placement.ranking import hash64, mix64
+from iristrack.prefix_index.answers import (
+    START,
+    Cursor,
+    MalformedAnswer,
+    advance,
+    parse_events,
+    parse_list,
+)
+from iristrack.prefix_index.catalog import KeptCatalog, changes_of_events, changes_of_list
+from iristrack.runtime.scheduler import Cancelled, Scheduler, Task, clock
+from iristrack.wire.codec import encode
+from iristrack.wire.connection import PeerConnection
+from iristrack.wire.dialing import parse_address
+from iristrack.wire.messages import KeptBatch, KeptParts, KeptSubscribe
+
+NS_PER_MS = 1_000_000
+HOLD_MS = 1000  # the longest wait that holders allow; under 200 ms a call would be priced as a probe
+CALL_NS = (HOLD_MS + 1500) * NS_PER_MS
+PAUSE_NS = 500 * NS_PER_MS  # after a call that failed
+LIST_NS = 5000 * NS_PER_MS  # between two calls for all that a holder keeps, where events were lost
+CHECK_NS = 250 * NS_PER_MS  # between two looks at which holders there are
+FLUSH_NS = 50 * NS_PER_MS
+SNAPSHOT_ENTRIES = 64  # changes in one message
+
+
+class KeptPrompts:
+    """What all holders keep, as this member knows it, and those who follow it."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        me: str,
+        holders: Callable[[], set[str]],
+        members: Callable[[], list[str]],
+    ) -> None:
+        """`holders` names all there are, `members` the connected core members, this one (`me`) among them."""
+        self.scheduler = scheduler
+        self.me = me
+        self.holders = holders
+        self.members = members
+        self.catalog = KeptCatalog()
+        self._tasks: dict[str, Task] = {}
+        self._subscribers: dict[
+            PeerConnection, bool
+        ] = {}  # whether it follows this member's own holders alone
+        self._own: list[KeptParts] = []  # changes to tell, of own holders
+        self._all: list[KeptParts] = []  # and of all
+        scheduler.spawn("kept prompts", self._run)
+        scheduler.call_at(clock() + FLUSH_NS, self._flush)
+
+    # ---- those who follow
+
+    def subscribe(self, connection: PeerConnection, message: KeptSubscribe) -> None:
+        """Tell a follower all there is, and every change from now on."""
+        self._flush_now()
+        self._subscribers[connection] = message.own_only
+        holders = self._tasks if message.own_only else self.catalog.holders()
+        changes = list(self.catalog.snapshot(list(holders)))
+        for at in range(0, len(changes), SNAPSHOT_ENTRIES):
+            connection.send(KeptBatch(tuple(changes[at : at + SNAPSHOT_ENTRIES])))
+
+    def from_member(self, batch: KeptBatch) -> None:
+        """Another member told of holders that it watches."""
+        for change in batch.entries:
+            if change.holder not in self._tasks:
+                self.catalog.apply(change)
+                self._all.append(change)
+
+    def _flush(self) -> None:
+        self._flush_now()
+        self.scheduler.call_at(clock() + FLUSH_NS, self._flush)
+
+    def _flush_now(self) -> None:
+        own, everything = self._own, self._all
+        if not everything:
+            return
+        self._own, self._all = [], []
+        own_frame = encode(KeptBatch(tuple(own))) if own else None
+        all_frame = encode(KeptBatch(tuple(everything)))
+        for connection, own_only in list(self._subscribers.items()):
+            if connection.closed:
+                del self._subscribers[connection]
+            elif not own_only:
+                connection.send_frame(all_frame)
+            elif own_frame is not None:
+                connection.send_frame(own_frame)
+
+    # ---- own holders
+
+    def _run(self) -> None:
+        while True:
+            holders = self.holders()
+            own = {holder for holder in holders if self._watcher(holder) == self.me}
+            for holder in [holder for holder in self._tasks if holder not in own]:
+                self._tasks.pop(holder).cancel()
+            for holder in own - set(self._tasks):
+                self._tasks[holder] = self.scheduler.spawn("kv events", self._watch, holder)
+            for holder in set(self.catalog.holders()) - holders:
+                self.catalog.forget(holder)
+            self.scheduler.sleep(CHECK_NS)
+
+    def _watcher(self, holder: str) -> str:
+        seed = hash64(holder)
+        return min(self.members(), key=lambda member: mix64(seed ^ hash64(member)))
+
+    def _publish(self, changes: Iterable[KeptParts]) -> None:
+        for change in changes:
+            self.catalog.apply(change)
+            self._own.append(change)
+            self._all.append(change)
+
+    def _watch(self, holder: str) -> None:
+        caller = Caller(self.scheduler, parse_address(holder))
+        cursor = START
+        listed_at: int | None = None
+        failed = False
+        try:
+            while True:
+                try:
+                    cursor, lost = self._take_events(caller, holder, cursor)
+                    if lost and (listed_at is None or clock() - listed_at > LIST_NS):
+                        listed_at = clock()
+                        cursor = self._take_list(caller, holder)
+                    failed = False
+                except (OSError, http.Malformed, http.Truncated, MalformedAnswer):
+                    if not failed:  # nothing is to be had there: it counts as empty until it answers
+                        self._publish([KeptParts(holder, True, "", "")])
+                        cursor = START
+                    failed = True
+                    self.scheduler.sleep(PAUSE_NS)
+        except Cancelled:
+            caller.close()
+            raise
+
+    def _take_events(self, caller: Caller, holder: str, cursor: Cursor) -> tuple[Cursor, bool]:
+        """Ask for what changed since the cursor; the next one, and whether events were lost."""
+        target = b"/kv-events?since=%d" % cursor.since
+        answer = parse_events(_call(caller, target, b"Wait-Ms: %d\r\n" % HOLD_MS))
+        step = advance(cursor, answer)
+        if step.restarted:
+            self._publish([KeptParts(holder, True, "", "")])
+        self._publish(changes_of_events(holder, step.events))
+        return step.cursor, answer.lost
+
+    def _take_list(self, caller: Caller, holder: str) -> Cursor:
+        """All that the holder keeps: priced, and asked for only where events were lost, as after a start."""
+        answer = parse_list(_call(caller, b"/kv-list", b""))
+        self._publish(changes_of_list(holder, answer.owned))
+        return Cursor(answer.epoch, answer.next_token)
+
+
+def _call(caller: Caller, target: bytes, lines: bytes) -> bytes:
+    answer = caller.call(b"GET", target, lines, b"", clock() + CALL_NS)
+    if answer.head.status != 200:
+        raise MalformedAnswer(f"status {answer.head.status}")
+    return answer.body
--- a/iristrack/controlplane/operator_api.py
+++ b/iristrack/controlplane/operator_api.py
@@ -47,6 +47,13 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReadStatus:
+    """`GET /system/status`."""
+
+    with_servers: bool  # `?servers`: the platform's list too
+
+
 @dataclass(frozen=True, slots=True)
 class BadCall:
     """A call that is answered without a command."""
@@ -55,13 +62,14 @@
     findings: tuple[Finding, ...]
 
 
-Command = ReplaceConfiguration | ReadConfiguration | NameVersion | BadCall
+Command = ReplaceConfiguration | ReadConfiguration | NameVersion | ReadStatus | BadCall
 Publish = Callable[[Update], None]
+TellStatus = Callable[[bool], dict]  # of whether with servers
 
 
 def decode_call(message: http.Message) -> Command:
     """The command that a call asks for."""
-    path = message.head.target.partition(b"?")[0]
+    path, _, query = message.head.target.partition(b"?")
     method = message.head.method
     if (method, path) == (b"POST", b"/config/replace"):
         return _decode_replace(message)
@@ -69,6 +77,8 @@
         return ReadConfiguration()
     if (method, path) == (b"POST", b"/version-put"):
         return _decode_version(message.body)
+    if (method, path) == (b"GET", b"/system/status"):
+        return ReadStatus(query == b"servers")
     return BadCall(404, (Finding("call", "no such call", "see the operators' page"),))
 
 
@@ -100,8 +110,9 @@
 class OperatorApi:
     """Answers the operator's calls."""
 
-    def __init__(self, register: RegisterHost, publish: Publish, log) -> None:
+    def __init__(self, register: RegisterHost, publish: Publish, tell_status: TellStatus, log) -> None:
         """`publish` tells everyone of a committed value."""
+        self.tell_status = tell_status
         self.register = register
         self.publish = publish
         self.log = log
@@ -115,6 +126,8 @@
             return self._replace(command)
         if isinstance(command, NameVersion):
             return self._name_version(command)
+        if isinstance(command, ReadStatus):
+            return Response(200, json.dumps(self.tell_status(command.with_servers)).encode())
         return self._read()
 
     def _replace(self, command: ReplaceConfiguration) -> Response:
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -8,12 +8,15 @@
 import socket
 from collections.abc import Callable
 
+from iristrack.configuration.building import parse_configuration
 from iristrack.controlplane import changes
 from iristrack.controlplane.distribution import Distribution
+from iristrack.controlplane.kept_prompts import KeptPrompts
 from iristrack.controlplane.list_poller import ListPoller
 from iristrack.controlplane.load_hub import LoadHub
 from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
 from iristrack.controlplane.register_host import RegisterHost
+from iristrack.controlplane.status import PeerBook, status_document
 from iristrack.controlplane.weights import WeightsDuty
 from iristrack.http1.serving import HttpServer
 from iristrack.register import Committed
@@ -31,6 +34,8 @@
     DutyValue,
     Heartbeat,
     Hello,
+    KeptBatch,
+    KeptSubscribe,
     MembersValue,
     Message,
     Prepare,
@@ -81,8 +86,11 @@
         )
         self.distribution = Distribution(self.dialers.broadcast)
         self.load_hub = LoadHub(self.scheduler, settings.node_name, self.dialers.broadcast)
+        self.kept = KeptPrompts(self.scheduler, self.address, self._holders, self._connected)
         self.heartbeats = 0
+        self.peer_book = PeerBook()
         self._core: set[PeerConnection] = set()  # accepted connections whose other ends are core members
+        self._holders_of: tuple[int, set[str], set[str]] = (-1, set(), set())  # of which configuration
         self._learned: dict[str, tuple] = {}  # key: the accepted ballot that was last seen committed
         self.weights: WeightsDuty | None = None
 
@@ -93,7 +101,9 @@
         settings = self.settings
         inner = (settings.ip, settings.port_range.first)
         self.peers = PeerListener(self.scheduler, inner, self._on_socket)
-        api = OperatorApi(self.register, self.distribution.publish, self.log)
+        api = OperatorApi(
+            self.register, self.distribution.publish, lambda servers: status_document(self, servers), self.log
+        )
         bind = settings.bind.control_plane
         self.server = HttpServer(self.scheduler, (bind.host, bind.port), api.answer, MOST_BODY)
         self.sync.start()
@@ -150,8 +160,23 @@
 
     def _is_first(self) -> bool:
         """Is this the first of the members that it is connected with?"""
-        connected = [address for address, dialer in self.dialers.dialers.items() if dialer.connected]
-        return all(self.address < address for address in connected)
+        return min(self._connected()) == self.address
+
+    def _connected(self) -> list[str]:
+        """The members that this one is connected with, itself among them."""
+        dialers = self.dialers.dialers.items()
+        return [self.address, *(address for address, dialer in dialers if dialer.connected)]
+
+    def _holders(self) -> set[str]:
+        """Addresses of all that keep parts of prompts: servers with an engine, and stores."""
+        update = self.distribution.topics.get(topics.CONFIGURATION)
+        if update is None:
+            return set()
+        if update.sequence != self._holders_of[0]:
+            self._holders_of = (update.sequence, *_engines_and_stores(update.value))
+        _, engines, stores = self._holders_of
+        servers = self.weights.servers if self.weights is not None else []
+        return stores | {server.address for server in servers if server.service in engines}
 
     def _tell_members(self) -> None:
         members = MembersValue(FIRST_MEMBERS, self.register.members)
@@ -191,6 +216,7 @@
 
     def _on_dialed(self, connection: PeerConnection) -> None:
         connection.send(Subscribe(self.distribution.topics.versions()))
+        connection.send(KeptSubscribe(own_only=True))
 
     def _on_socket(self, sock: socket.socket) -> None:
         connection = PeerConnection(self.scheduler, sock, self._on_message, self.distribution.forget)
@@ -207,10 +233,19 @@
             self._on_heartbeat(connection, message)
         elif isinstance(message, ServerLoads):
             self._on_loads(connection, message)
-        elif isinstance(message, Hello) and message.role == CORE_ROLE:
-            self._core = {c for c in self._core if not c.closed} | {connection}
-            if message.incarnation:
-                self.register.identity.incarnations[message.address] = message.incarnation
+        elif isinstance(message, KeptBatch):
+            self.kept.from_member(message)
+        elif isinstance(message, KeptSubscribe):
+            self.kept.subscribe(connection, message)
+        elif isinstance(message, Hello):
+            self.peer_book.met(connection, message)
+            if message.role == CORE_ROLE:
+                self._on_core_hello(connection, message)
+
+    def _on_core_hello(self, connection: PeerConnection, message: Hello) -> None:
+        self._core = {c for c in self._core if not c.closed} | {connection}
+        if message.incarnation:
+            self.register.identity.incarnations[message.address] = message.incarnation
 
     def _on_loads(self, connection: PeerConnection, message: ServerLoads) -> None:
         if connection in self._core:
@@ -258,3 +293,14 @@
         value = decode_value(result.value, VALUE_TYPES[key])
         if value is not None:
             self.distribution.publish(Update(key, value.sequence, result.value))
+
+
+def _engines_and_stores(value: bytes) -> tuple[set[str], set[str]]:
+    """The services whose servers keep prompts, and the addresses of the stores, in a configuration's value."""
+    told = decode_value(value, ConfigurationValue)
+    if told is None or not told.body:
+        return set(), set()
+    configuration = parse_configuration(told.body)
+    engines = {service.label for service in configuration.services if service.engine is not None}
+    stores = {service.store.address for service in configuration.services if service.store is not None}
+    return engines, stores
--- a/iristrack/controlplane/weights.py
+++ b/iristrack/controlplane/weights.py
@@ -100,7 +100,7 @@
     def _work(self) -> None:
         now = clock()
         wanted = [u for u in wanted_upgrades(self.servers, self.named()) if not self._is_done(u)]
-        orders = self.roll.next_orders(wanted, now)
+        orders = self.roll.next_orders(wanted, sum(bool(s.models) for s in self.servers), now)
         self._tell_busy()
         for upgrade in orders:
             self.scheduler.spawn("upgrade", self._upgrade, upgrade)
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -19,6 +19,8 @@
     ConfigurationValue,
     Heartbeat,
     Hello,
+    KeptBatch,
+    KeptSubscribe,
     MembersValue,
     Message,
     ServerLoads,
@@ -84,6 +86,8 @@
     def _choose_hub(self) -> None:
         hub = self.hub()
         if hub is not self._hub:
+            if hub is not None:
+                hub.send(KeptSubscribe(own_only=False))
             before, self._hub = self._hub, hub
             for connection in (before, hub):
                 if connection is not None and not connection.closed:
@@ -96,6 +100,9 @@
                 handler(message.value)
         elif isinstance(message, ServerLoads):
             self.loads.on_others(message)
+        elif isinstance(message, KeptBatch):
+            if connection is self._hub:
+                self._on_kept(message)
         elif isinstance(message, Hello):
             self.zones[connection] = message.zone
             self._choose_hub()
@@ -125,6 +132,11 @@
                 self.plane.versions[version.model] = ModelVersion(version.revision, clock())
                 self.log.info("weights named", model=version.model, revision=version.revision)
 
+    def _on_kept(self, batch: KeptBatch) -> None:
+        now = clock()
+        for change in batch.entries:
+            self.plane.index.apply_change(change, now)
+
     def _on_members(self, value: bytes) -> None:
         self.follow_seeds()
 
--- a/iristrack/dataplane/program.py
+++ b/iristrack/dataplane/program.py
@@ -13,7 +13,6 @@
 from iristrack.dataplane.control_link import ControlLink
 from iristrack.dataplane.discovery import ListFollower
 from iristrack.dataplane.exchange import answer_request
-from iristrack.dataplane.kept_prompts import KeptPromptWatcher
 from iristrack.dataplane.state import PlaneState
 from iristrack.http1 import messages as http
 from iristrack.http1.serving import HttpServer, Response
@@ -61,7 +60,6 @@
         )
         self.plane.links.start()
         self.control = ControlLink(self.plane, ListFollower(self.plane), self.log)
-        KeptPromptWatcher(self.plane)
         self.scheduler.call_at(clock() + REPORT_NS, self._report)
 
     def run(self, signals: socket.socket) -> None:
--- a/iristrack/engines/roll.py
+++ b/iristrack/engines/roll.py
@@ -11,7 +11,7 @@
 
 from iristrack.placement.servers import ListedServer
 
-AT_ONCE = 2  # more would make each load last longer
+AT_ONCE_SHARE = 0.4  # of the servers; more would make each load last longer, and leave too few to serve
 PREPARE_NS = 1_200_000_000
 
 
@@ -44,21 +44,22 @@
         self.preparing: dict[str, int] = {}  # instance: since when (ns)
         self.ordered: dict[str, Upgrade] = {}
 
-    def next_orders(self, wanted: Iterable[Upgrade], now: int) -> list[Upgrade]:
-        """The upgrades to order now; they count as ordered until `ended`."""
+    def next_orders(self, wanted: Iterable[Upgrade], servers: int, now: int) -> list[Upgrade]:
+        """The upgrades to order now, of so many servers in all; they count as ordered until `ended`."""
+        at_once = max(1, int(servers * AT_ONCE_SHARE))
         waiting: dict[str, Upgrade] = {}
         for upgrade in sorted(wanted, key=lambda upgrade: upgrade.instance_id):
             if upgrade.instance_id not in self.ordered:
                 waiting.setdefault(upgrade.instance_id, upgrade)
         self.preparing = {name: since for name, since in self.preparing.items() if name in waiting}
         ready = [name for name, since in self.preparing.items() if now - since >= PREPARE_NS]
-        orders = [waiting[name] for name in ready[: max(0, AT_ONCE - len(self.ordered))]]
+        orders = [waiting[name] for name in ready[: max(0, at_once - len(self.ordered))]]
         for upgrade in orders:
             del self.preparing[upgrade.instance_id]
             del waiting[upgrade.instance_id]
             self.ordered[upgrade.instance_id] = upgrade
         for name in waiting:
-            if len(self.preparing) >= AT_ONCE:
+            if len(self.preparing) >= at_once:
                 break
             self.preparing.setdefault(name, now)
         return orders
--- a/iristrack/prefix_index/index.py
+++ b/iristrack/prefix_index/index.py
@@ -24,6 +24,7 @@
 from iristrack.prefix_index.digest import Digest, Position, Snapshot
 from iristrack.prefix_index.parts import Part
 from iristrack.prefix_index.table import EntryTable, Space, SpaceKey
+from iristrack.wire.messages import KeptParts
 
 PROVISIONAL_NS = 5_000_000_000  # own knowledge lapses after so long unless the holder tells of the part
 
@@ -136,6 +137,16 @@
         known.uncertain_since = None
         self._replace(known, answer.owned, now)
 
+    def apply_change(self, change: KeptParts, now: int) -> None:
+        """Take in a change that a core member told of, over a connection that carries all of them in order."""
+        self.expire(now)
+        known = self._holder(change.holder)
+        if change.reset:
+            self._clear(known)
+            known.uncertain_since = None
+        for part in change.parts:
+            self._tell(known, (change.salt, change.model), part.part, part.tokens, now)
+
     def apply_digest(self, digest: Digest, now: int) -> bool:
         """Take in a watcher's digest; False where it doesn't continue `position(holder)`: ask for a snapshot."""
         self.expire(now)
--- /dev/null
+++ b/iristrack/store/cells_reader.py
@@ -0,0 +1,78 @@
+"""Looking into an acceptor's folder while a process may be using it: nothing is locked, made, changed or removed.
+
+What is shown may be ahead of the disk (records that are not synced yet) and a moment old. It is for people; a process
+that means to vote opens the folder by `cells.open_cells`.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+from iristrack.register.acceptor import CellRecord
+from iristrack.store.cell_format import Contents, IdentityRecord, read_contents
+from iristrack.store.cells import MOST_FILE_BYTES, CellsError, NewerFormat, UnreadableFile
+from iristrack.store.files import Disk, Files
+from iristrack.store.framing import Verdict
+
+MOST_TRIES = 5  # a file may be replaced by the next one between its being named and its being read
+_FILE_NAME = re.compile(r"cells\.(\d{1,18})$")
+
+
+class NoCells(CellsError):
+    """The folder holds no file of an acceptor."""
+
+
+@dataclass(slots=True)
+class SeenCells:
+    """What a folder held at one moment."""
+
+    file: str
+    identity: IdentityRecord | None = None
+    cells: dict[str, CellRecord] = field(default_factory=dict)
+    blobs: dict[str, bytes] = field(default_factory=dict)
+    notes: list[str] = field(default_factory=list)  # what was left out, and why
+
+
+def read_cells(folder: str, files: Files | None = None) -> SeenCells:
+    """Read the newest file of a folder.
+
+    Raises `NoCells`, `NewerFormat`, `UnreadableFile`, and `OSError` for a call that failed.
+    """
+    files = files or Disk()
+    for _ in range(MOST_TRIES):
+        name = _newest(files.names(folder))
+        if name is None:
+            raise NoCells(f"{folder} holds no cells")
+        try:
+            data = files.read(f"{folder}/{name}", MOST_FILE_BYTES + 1)
+        except FileNotFoundError:
+            continue  # a rewrite has just put the next one in its place
+        return _seen(folder, name, data)
+    raise UnreadableFile(f"{folder}: its files are replaced faster than they can be read")
+
+
+def _newest(names: list[str]) -> str | None:
+    matches = [match for match in map(_FILE_NAME.match, names) if match is not None]
+    newest = max(matches, key=lambda match: int(match[1]), default=None)
+    return None if newest is None else newest[0]
+
+
+def _seen(folder: str, name: str, data: bytes) -> SeenCells:
+    if len(data) > MOST_FILE_BYTES:
+        raise UnreadableFile(f"{folder}/{name} holds over {MOST_FILE_BYTES} bytes")
+    contents = read_contents(data)
+    if contents.read.verdict is Verdict.NEWER:
+        raise NewerFormat(f"{folder}/{name}: {contents.read.why}; written by {contents.read.writer}")
+    seen = SeenCells(name, contents.identity, contents.cells, contents.blobs)
+    seen.notes += _notes(name, contents, len(data))
+    return seen
+
+
+def _notes(name: str, contents: Contents, size: int) -> list[str]:
+    if contents.read.why:
+        end = contents.read.end
+        return [f"{name}: {contents.read.why}; {size - end} of {size} bytes are left out"]
+    if contents.identity is None:
+        return [f"{name}: it says nothing of its owner"]
+    return []
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -83,6 +83,8 @@
     MessageKind(14, messages.BusyServers, version=2),
     MessageKind(15, messages.ServerLoads),
     MessageKind(16, messages.ServersValue),
+    MessageKind(17, messages.KeptBatch),
+    MessageKind(18, messages.KeptSubscribe),
 )
 
 
--- a/iristrack/wire/connection.py
+++ b/iristrack/wire/connection.py
@@ -96,6 +96,8 @@
             self.sock.close()
 
     def _write(self) -> None:
+        if self.closed:
+            return
         # The reading task waits on the descriptor, and the scheduler knows one waiter for each: a copy is waited on.
         copy = self.sock.dup()
         try:
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -244,6 +244,39 @@
     servers: tuple[ServerEntry, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class PartTokens:
+    """How many tokens of a prompt part are kept from now on; 0: none."""
+
+    part: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeptParts:
+    """What changed at one holder under one salt and model; `reset`: all that was known of the holder is void."""
+
+    holder: str  # ip:port of a server or a store
+    reset: bool
+    salt: str
+    model: str
+    parts: tuple[PartTokens, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class KeptBatch:
+    """Changes in the order in which they happened; a connection carries all of them, none twice."""
+
+    entries: tuple[KeptParts, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class KeptSubscribe:
+    """Ask for all that holders keep, and for every change from now on."""
+
+    own_only: bool  # only of the holders that the receiver watches itself
+
+
 Message = (
     Hello
     | Prepare
@@ -261,4 +294,6 @@
     | BusyServers
     | ServerLoads
     | ServersValue
+    | KeptBatch
+    | KeptSubscribe
 )
