Judge servers by the outcomes of all sidecars; refuse only where every server is too busy

Cause: at the grown sites a server fails part of its requests while it says it is well, and one sidecar of 67 sends it a request every 20 s. Found by tests of the choice: a request could be refused beside a server with room, where the gain of spilling was small; a model's name with a dot could meet another salt; an answer of an earlier request opened a server that takes new weights.

--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -19,6 +19,7 @@
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000 * NS_PER_MS
 RETRY_AFTER_S = 0.4  # told to a client whose request has not run
+SILENT_NS = 1500 * NS_PER_MS  # without a word from a server, at the end of which it counts as failed
 LEAST_LEFT_NS = 20 * NS_PER_MS  # with less time left nothing is sent any more
 LEAST_FETCH_TOKENS = 64  # fewer are read faster than they are moved
 SHORT_OUTPUT_TOKENS = 32  # an answer of so many tokens is done soon
@@ -132,6 +133,7 @@
     def _choose(self, now: int) -> Server | None:
         listed = self.plane.servers.of_service(self.service)
         usable = [s for s in listed if s.usable(now) and s.instance_id not in self.failed_at]
+        usable = [s for s in usable if not s.left_out] or usable
         model = self.request.model
         if model is not None:
             usable = self._on_current_weights(usable, model, now)
@@ -204,6 +206,7 @@
         if self.tried:
             plane.counters.retries += 1
         cache = self._cache_use(server)
+        began = clock()
         self._unread = pieces_to_read(self._prompt_at(server))
         server.began(self._unread)
         try:
@@ -212,6 +215,10 @@
         except AttemptFailed as failure:
             self._note_failure(server, failure)
             return False
+        except (ClientLeft, DeadlinePassed):
+            if attempt.head is None and clock() - began > SILENT_NS:
+                server.failed(clock())  # it said nothing for so long that the client has given up
+            raise
         except (EventTooLarge, http.Malformed) as fault:
             self._note_failure(server, AttemptFailed(str(fault), ran=True))
             return False
@@ -262,6 +269,8 @@
             raise AttemptFailed(f"status {head.status} without a promise or a seal", ran=True)
         self._learn_revision(server, head)
         if said is Verdict.FAILURE:
+            if head.status >= 500:
+                server.outcomes.failed(clock())
             self._pass_whole(attempt)
             return True
         if request.model is not None and cache is not None and request.parts:
@@ -270,7 +279,7 @@
             self._pass_events(attempt, server)
         else:
             self._pass_whole(attempt)
-        server.succeeded()
+        server.succeeded(clock())
         attempt.finish()
         return True
 
--- a/iristrack/dataplane/load_reports.py
+++ b/iristrack/dataplane/load_reports.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Protocol
 
 from iristrack.dataplane.state import PlaneState
+from iristrack.placement.outcomes import NONE, Outcomes
 from iristrack.runtime.scheduler import clock
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.messages import ServerLoad, ServerLoads
@@ -45,21 +47,32 @@
             load = told.get(server.instance_id)
             server.others_inflight = 0 if load is None else load.requests
             server.others_unread_pieces = 0 if load is None else load.pieces
+            server.others_outcomes = NONE if load is None else Outcomes(load.answered, load.failed)
+        self.plane.servers.judge(clock())
 
     def _tick(self) -> None:
         now = clock()
         if self._heard_at and now - self._heard_at > EXPIRY_NS:
             self._heard_at = 0
             self._take({})
-        loads = tuple(
-            ServerLoad(s.instance_id, s.inflight, max(0, s.unread_pieces))
-            for s in self.plane.servers.servers.values()
-            if s.inflight
-        )
+        loads = tuple(self._own_loads(now))
+        self.plane.servers.judge(now)
         if loads != self._told or (loads and now - self._told_at > REPEAT_NS):
             self._tell(loads, now)
         self.plane.scheduler.call_at(now + TELL_NS, self._tick)
 
+    def _own_loads(self, now: int) -> Iterator[ServerLoad]:
+        for server in self.plane.servers.servers.values():
+            outcomes = server.outcomes.total(now)
+            if server.inflight or outcomes != NONE:
+                yield ServerLoad(
+                    server.instance_id,
+                    server.inflight,
+                    max(0, server.unread_pieces),
+                    outcomes.answered,
+                    outcomes.failed,
+                )
+
     def _tell(self, loads: tuple[ServerLoad, ...], now: int) -> None:
         hub = self.finder.hub()
         if hub is None:
--- a/iristrack/placement/choice.py
+++ b/iristrack/placement/choice.py
@@ -88,11 +88,12 @@
     if least <= SPILL_LOAD or len(servers) <= CANDIDATES:
         return best if least <= MOST_LOAD else None
     # Exception: where both candidates are crowded, the rest of the ranking helps.
-    others = [(cost(s, prompt_at(s)) + SPILL_GAIN, s) for s in servers if s not in ranking]
-    spill, spilled = _least(others, rng)
-    if min(spill, least) > MOST_LOAD:
-        return None
-    return spilled if spill < least else best
+    others = [(cost(s, prompt_at(s)), s) for s in servers if s not in ranking]
+    least_other, other = _least(others, rng)
+    chosen = (least_other, other) if least_other + SPILL_GAIN < least else (least, best)
+    if chosen[0] > MOST_LOAD:
+        chosen = min((least, best), (least_other, other), key=lambda pair: pair[0])
+    return chosen[1] if chosen[0] <= MOST_LOAD else None
 
 
 def _keeps(prompt: Prompt) -> bool:
--- a/iristrack/placement/engines.py
+++ b/iristrack/placement/engines.py
@@ -11,10 +11,11 @@
     """The text under which a server keeps and finds prompt parts.
 
     It names the model and the revision of the weights that made the parts, so that no part outlives its weights, and
-    the tenant where that is isolated, so that no other tenant's request finds them.
+    the tenant where that is isolated, so that no other tenant's request finds them. The length of the model's name
+    tells where it ends, whatever characters it holds.
     """
     wall = "" if isolated_tenant is None else f"/{isolated_tenant}"
-    return f"{model}.{revision}{wall}"
+    return f"{len(model)}:{model}.{revision}{wall}"
 
 
 def serving(servers: Iterable[Server], model: str, least_revision: int) -> list[Server]:
--- a/iristrack/placement/loads.py
+++ b/iristrack/placement/loads.py
@@ -42,6 +42,17 @@
         return sum_loads(told)
 
 
+def add_loads(first: ServerLoad, second: ServerLoad) -> ServerLoad:
+    """What two senders have at one server."""
+    return ServerLoad(
+        first.instance,
+        first.requests + second.requests,
+        first.pieces + second.pieces,
+        first.answered + second.answered,
+        first.failed + second.failed,
+    )
+
+
 def sum_loads(told: Iterable[ServerLoads]) -> dict[str, ServerLoad]:
     """The sum of several senders' loads, by instance."""
     total: dict[str, ServerLoad] = {}
--- a/iristrack/placement/servers.py
+++ b/iristrack/placement/servers.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from iristrack.placement.outcomes import NONE as NO_OUTCOMES
+from iristrack.placement.outcomes import Outcomes, OutcomeWindow, left_out
 from iristrack.placement.ranking import hash64
 
 NS_PER_MS = 1_000_000
@@ -38,6 +40,9 @@
     unread_pieces: int = 0  # of their prompts, that it still has to read
     others_inflight: int = 0  # and what the other sidecars told of theirs
     others_unread_pieces: int = 0
+    outcomes: OutcomeWindow = field(default_factory=OutcomeWindow)
+    others_outcomes: Outcomes = NO_OUTCOMES
+    left_out: bool = False  # too many of its requests fail
     busy: bool = False  # it takes new weights, and is avoided until it has them
     preparing: bool = False  # it takes new weights next: long answers are better begun elsewhere
     avoid_until: int = 0  # ns; it failed or turned a request away
@@ -76,13 +81,16 @@
         """A request ended, in whatever way."""
         self.inflight -= 1
 
-    def succeeded(self) -> None:
-        """An answer came: what was held against it is forgotten."""
+    def succeeded(self, now: int) -> None:
+        """An answer came: the back-off is forgotten."""
+        self.outcomes.answered(now)
         self.failures = 0
-        self.avoid_until = 0
+        if not self.busy:
+            self.avoid_until = 0
 
     def failed(self, now: int) -> None:
         """A connection broke, did not come up or fell silent."""
+        self.outcomes.failed(now)
         backoff = min(LAST_BACKOFF_NS, FIRST_BACKOFF_NS << min(self.failures, 8))
         self.failures += 1
         self.avoid_until = max(self.avoid_until, now + backoff)
@@ -133,6 +141,14 @@
             server.saw_revision(model, revision)
         return server
 
+    def judge(self, now: int) -> None:
+        """Leave out servers at which too many requests of all sidecars fail; to be called some times a second."""
+        for servers in self.by_service.values():
+            total = [(s.instance_id, s.outcomes.total(now).plus(s.others_outcomes)) for s in servers]
+            out = left_out(total)
+            for server in servers:
+                server.left_out = server.instance_id in out
+
     def of_service(self, service: str) -> list[Server]:
         """The listed servers of a service."""
         return self.by_service.get(service, [])
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -213,6 +213,8 @@
     instance: str
     requests: int
     pieces: int  # of prompts, that the server still has to read
+    answered: int = 0  # requests that it answered in the last seconds
+    failed: int = 0  # and requests that ended otherwise there
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/placement/samples.py
@@ -0,0 +1,20 @@
+from __future__ import annotations
+
+from iristrack.placement.choice import Prompt
+from iristrack.placement.servers import ListedServer, Server, ServerTable
+
+NOTHING_KEPT = Prompt(0, 0, 0)
+
+
+def listed(name: str, service: str = "pool", ready: bool = True, **models: int) -> ListedServer:
+    return ListedServer(name, service, f"{name}:80", "zone", ready, 8, tuple(models.items()))
+
+
+def servers(count: int) -> list[Server]:
+    table = ServerTable()
+    table.take_list([listed(f"i-{number}") for number in range(count)])
+    return table.of_service("pool")
+
+
+def nothing_kept(server: Server) -> Prompt:
+    return NOTHING_KEPT
--- /dev/null
+++ b/tests/placement/test_ranking.py
@@ -0,0 +1,42 @@
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from iristrack.placement.choice import ranked
+from tests.placement.samples import servers
+
+KEYS = [f"part-{number}" for number in range(400)]
+
+
+def test_a_ranking_is_the_same_for_whoever_asks_in_whatever_order() -> None:
+    pool = servers(7)
+    shuffled = list(pool)
+    random.Random(5).shuffle(shuffled)
+    for key in KEYS[:50]:
+        assert ranked(pool, key, random.Random(1), 7) == ranked(shuffled, key, random.Random(2), 7)
+
+
+@given(st.integers(2, 9), st.integers(0, 8), st.sampled_from(KEYS), st.integers(1, 9))
+def test_removing_a_server_takes_it_out_of_the_ranking_and_moves_nothing_else(
+    count, removed, key, most
+) -> None:
+    pool = servers(count)
+    gone = pool[removed % count]
+    rest = [server for server in pool if server is not gone]
+    whole = ranked(pool, key, random.Random(0), count)
+    assert ranked(rest, key, random.Random(0), most) == [s for s in whole if s is not gone][:most]
+
+
+def test_each_server_is_the_first_for_about_its_share_of_keys() -> None:
+    pool = servers(4)
+    firsts = [ranked(pool, key, random.Random(0), 1)[0] for key in KEYS]
+    assert all(70 <= firsts.count(server) <= 130 for server in pool)
+
+
+def test_a_ranking_asks_for_no_more_than_there_are() -> None:
+    assert len(ranked(servers(1), None, random.Random(0), 2)) == 1
+    assert len(ranked(servers(1), "key", random.Random(0), 2)) == 1
+    assert len(set(ranked(servers(5), None, random.Random(0), 2))) == 2
--- /dev/null
+++ b/tests/placement/test_retry_budget.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from iristrack.admission.retry_budget import RetryBudget
+
+RATIO, SLACK = 0.2, 52.0
+REQUEST, REPEAT = "request", "repeat"
+# Steps of all sidecars in their common order, with the time that passed before each.
+STEPS = st.lists(
+    st.tuples(
+        st.integers(0, 3),
+        st.integers(0, 11),
+        st.sampled_from([REQUEST, REPEAT]),
+        st.integers(1, 120),
+    ),
+    max_size=60,
+)
+
+
+@given(
+    STEPS,
+    st.integers(1, 12),
+    st.sampled_from([0.0, 0.1, 0.2, 1.0]),
+    st.sampled_from([0.0, 12.0, 52.0]),
+    st.integers(1, 20),
+)
+def test_no_window_holds_more_repeats_than_its_share_of_requests_and_the_slack(
+    steps, sidecars, ratio, slack, window
+) -> None:
+    budgets = [RetryBudget(ratio, slack, sidecars) for _ in range(sidecars)]
+    requests: list[int] = []
+    repeats: list[int] = []
+    now = 0
+    for pause, sidecar, kind, count in steps:
+        now += pause
+        budget = budgets[sidecar % sidecars]
+        for _ in range(count):
+            if kind == REQUEST:
+                budget.earn()
+                requests.append(now)
+            elif budget.spend():
+                repeats.append(now)
+    for begin in {*repeats}:
+        spent = sum(begin <= at <= begin + window for at in repeats)
+        sent = sum(begin <= at <= begin + window for at in requests)
+        assert spent <= ratio * sent + slack + 1e-6
+
+
+def test_a_budget_can_be_spent_and_is_earned_again() -> None:
+    budget = RetryBudget(RATIO, SLACK, 4)
+    spent = 0
+    while budget.spend():
+        spent += 1
+    assert 0 < spent <= SLACK / 4
+    earned = 0
+    while not budget.spend():
+        budget.earn()
+        earned += 1
+        assert earned < 100
+    assert earned >= 1 / RATIO - 1
+
+
+def test_more_sidecars_take_from_each_at_once_and_fewer_give_nothing_for_nothing() -> None:
+    budget = RetryBudget(RATIO, SLACK, 1)
+    budget.share(13)
+    assert budget.tokens <= SLACK / 13
+    held = budget.tokens
+    budget.share(1)
+    assert budget.tokens == held
--- /dev/null
+++ b/tests/placement/test_servers.py
@@ -0,0 +1,143 @@
+from __future__ import annotations
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from iristrack.placement.servers import (
+    FIRST_BACKOFF_NS,
+    LAST_BACKOFF_NS,
+    REJECTED_BACKOFF_NS,
+    Server,
+    ServerTable,
+)
+from tests.placement.samples import listed, servers
+
+NOW = 10**12
+
+
+def table_with(*entries) -> ServerTable:
+    table = ServerTable()
+    table.take_list(entries)
+    return table
+
+
+def only(*entries) -> Server:
+    return table_with(*entries).servers[entries[0].instance_id]
+
+
+def backoff(server: Server, now: int) -> int:
+    return server.avoid_until - now
+
+
+def test_the_backoff_doubles_with_each_failure_and_is_bounded() -> None:
+    server, now, seen = only(listed("i-1")), NOW, []
+    for _ in range(20):
+        server.failed(now)
+        seen.append(backoff(server, now))
+        now = server.avoid_until
+    assert seen[0] == FIRST_BACKOFF_NS
+    assert all(later == min(LAST_BACKOFF_NS, 2 * earlier) for earlier, later in itertools.pairwise(seen))
+    assert seen[-1] == LAST_BACKOFF_NS
+
+
+def test_a_success_forgets_the_failures() -> None:
+    server = only(listed("i-1"))
+    for _ in range(5):
+        server.failed(NOW)
+    server.succeeded(0)
+    assert server.usable(NOW)
+    server.failed(NOW)
+    assert backoff(server, NOW) == FIRST_BACKOFF_NS
+
+
+def test_a_rejection_is_short_and_never_shortens_a_backoff() -> None:
+    server = only(listed("i-1"))
+    server.rejected(NOW)
+    assert backoff(server, NOW) == REJECTED_BACKOFF_NS
+    server.failed(NOW)
+    server.rejected(NOW)
+    assert backoff(server, NOW) == FIRST_BACKOFF_NS
+
+
+def test_usable_means_ready_listed_and_not_avoided() -> None:
+    table = table_with(listed("i-1"), listed("i-2", ready=False))
+    ready, draining = table.servers["i-1"], table.servers["i-2"]
+    assert ready.usable(NOW)
+    assert not draining.usable(NOW)
+    ready.failed(NOW)
+    assert not ready.usable(ready.avoid_until - 1)
+    assert ready.usable(ready.avoid_until)
+    assert table.take_list([listed("i-2")]) == [ready]
+    assert not ready.usable(ready.avoid_until)
+    assert table.of_service("pool") == [draining]
+    assert draining.usable(NOW)
+
+
+def test_a_list_keeps_what_is_known_of_a_server_and_follows_its_entry() -> None:
+    table = table_with(listed("i-1", m=2))
+    server = table.servers["i-1"]
+    server.began(3)
+    table.take_list([listed("i-1", service="other", ready=False, m=1)])
+    assert table.servers["i-1"] is server
+    assert (server.inflight, server.revisions, server.listed.ready) == (1, {"m": 2}, False)
+    assert table.of_service("pool") == []
+    assert table.of_service("other") == [server]
+
+
+@given(st.lists(st.tuples(st.sampled_from("ab"), st.integers(0, 9), st.booleans())))
+def test_revisions_never_go_back(told) -> None:
+    table = table_with(listed("i-1", a=3))
+    server = table.servers["i-1"]
+    for model, revision, by_list in told:
+        before = dict(server.revisions)
+        if by_list:
+            table.take_list([listed("i-1", **{model: revision})])
+        else:
+            server.saw_revision(model, revision)
+        assert server.revisions.get(model, 0) == max(before.get(model, 0), revision)
+        assert all(server.revisions.get(name, 0) >= number for name, number in before.items())
+
+
+def test_busy_ends_with_a_newer_revision_alone() -> None:
+    server = only(listed("i-1", m=2))
+    server.busy, server.avoid_until = True, NOW
+    server.saw_revision("m", 2)
+    server.saw_revision("m", 1)
+    assert server.busy
+    assert not server.usable(NOW - 1)
+    server.saw_revision("m", 3)
+    assert not server.busy
+    assert server.usable(NOW - 1)
+
+
+def test_an_answer_of_an_earlier_request_does_not_open_a_server_that_takes_new_weights() -> None:
+    server = only(listed("i-1", m=2))
+    server.busy, server.avoid_until = True, NOW
+    server.succeeded(0)
+    assert not server.usable(NOW - 1)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["begin", "read", "end"]), st.integers(0, 5))))
+def test_counts_are_never_negative_and_end_at_nothing(steps) -> None:
+    (server,) = servers(1)
+    unread: list[int] = []  # of the requests in flight
+
+    def finish_reading(position: int) -> None:
+        server.has_read(unread[position])
+        unread[position] = 0
+
+    for step, number in steps:
+        if step == "begin":
+            server.began(number)
+            unread.append(number)
+        elif unread and step == "read":
+            finish_reading(number % len(unread))
+        elif unread:
+            finish_reading(number % len(unread))
+            del unread[number % len(unread)]
+            server.ended()
+        assert server.inflight == len(unread)
+        assert server.unread_pieces == sum(unread)
+        assert server.load == len(unread) + sum(unread) >= 0
