--- a/iristrack/controlplane/distribution.py
+++ b/iristrack/controlplane/distribution.py
@@ -43,10 +43,12 @@
     def subscribe(self, connection: PeerConnection, message: Subscribe) -> None:
         """Tell a new subscriber what it has missed, and everything from now on."""
         self.subscribers[connection] = message.push
+        self.topics.saw(message.known)
         self._catch_up(connection, message.known)
 
     def on_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
         """A subscriber tells how new its copies are: what it has missed is sent again."""
+        self.topics.saw(message.known)
         if connection in self.subscribers:
             self._catch_up(connection, message.known)
 
--- a/iristrack/controlplane/operator_api.py
+++ b/iristrack/controlplane/operator_api.py
@@ -20,7 +20,7 @@
 
 NS_PER_MS = 1_000_000
 CALL_NS = 900 * NS_PER_MS  # callers move on after a second of silence
-MOST_BODY = 8 << 20
+MOST_BODY = 7 << 20  # with what stands around it, a record of the register holds 8 MiB at most
 RETRY_AFTER = b"Content-Type: application/json\r\nRetry-After: 0.3\r\n"
 BASE_HEADER = b"x-iristrack-base-version"
 
@@ -98,15 +98,24 @@
     try:
         document = json.loads(body)
         model, revision = document["model_name"], document["revision"]
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return BadCall(400, (Finding("body", "no JSON with model_name and revision", "send both"),))
-    if not isinstance(model, str) or not model or len(model) > 200:
+    if not isinstance(model, str) or not model or len(model) > 200 or not _is_text(model):
         return BadCall(400, (Finding("model_name", "no name", "name the model"),))
     if type(revision) is not int or not 0 < revision < 1 << 62:
         return BadCall(400, (Finding("revision", "no number above 0", "send a whole number"),))
     return NameVersion(model, revision)
 
 
+def _is_text(value: str) -> bool:
+    """Can it be written in UTF-8? JSON may name halves of characters."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 class OperatorApi:
     """Answers the operator's calls."""
 
--- a/iristrack/dataplane/clients.py
+++ b/iristrack/dataplane/clients.py
@@ -8,7 +8,17 @@
 from contextlib import suppress
 
 from iristrack.http1 import messages as http
-from iristrack.runtime.scheduler import READ, WRITE, Cancelled, Scheduler, Task, clock, listening, send_all
+from iristrack.runtime.scheduler import (
+    HANG_UP,
+    READ,
+    WRITE,
+    Cancelled,
+    Scheduler,
+    Task,
+    clock,
+    listening,
+    send_all,
+)
 
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000 * NS_PER_MS
@@ -55,11 +65,14 @@
             self._watching = False
             self.scheduler.unwatch(self.fd)
 
-    def _readable(self) -> None:
+    def _readable(self, hung_up: bool = False) -> None:
         self.unwatch()
         try:
-            if self.sock.recv(1, socket.MSG_PEEK):
-                return  # an early next request: it stays in the kernel until this one is answered
+            if not hung_up and self.sock.recv(1, socket.MSG_PEEK):
+                # An early next request stays in the kernel until this one is answered; only the end is of interest.
+                self._watching = True
+                self.scheduler.watch(self.fd, lambda: self._readable(hung_up=True), HANG_UP)
+                return
         except BlockingIOError:
             self.watch()
             return
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -86,12 +86,12 @@
     def _choose_hub(self) -> None:
         hub = self.hub()
         if hub is not self._hub:
-            if hub is not None:
-                hub.send(KeptSubscribe(own_only=False))
             before, self._hub = self._hub, hub
             for connection in (before, hub):
                 if connection is not None and not connection.closed:
                     self._subscribe(connection)
+            if hub is not None:
+                hub.send(KeptSubscribe(own_only=False))
 
     def _on_message(self, connection: PeerConnection, message: Message) -> None:
         if isinstance(message, Update) and self.topics.learn(message):
--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -10,8 +10,9 @@
 from iristrack.dataplane.requests import ClientRequest, Rejected, read_request
 from iristrack.dataplane.state import PlaneState
 from iristrack.http1 import messages as http
+from iristrack.http1.messages import header_text
 from iristrack.placement.choice import Prompt, choose, pieces_to_read
-from iristrack.placement.engines import cache_salt, serving
+from iristrack.placement.engines import cache_salt, serving, store_of
 from iristrack.placement.servers import Server
 from iristrack.prefix_index.parts import shared_parts
 from iristrack.runtime.scheduler import clock
@@ -194,7 +195,8 @@
         if source is not None and kept[source] < own + LEAST_FETCH_TOKENS:
             source = None
         wanted = sum(part.tokens for part in shared)
-        save_to = next((store for store in stores if kept[store] < wanted), None)
+        saved = any(kept[store] >= wanted for store in stores)
+        save_to = None if saved else store_of(request.key, stores)
         return CacheUse(revision, salt, source, save_to)
 
     # ---- one attempt
@@ -250,7 +252,7 @@
             b"Priority: %d\r\n" % max(0, min(9, request.priority)),
         ]
         if request.tenant is not None:
-            parts.append(b"X-Iristrack-Tenant: %b\r\n" % request.tenant.label.encode("latin-1", "replace"))
+            parts.append(b"X-Iristrack-Tenant: %b\r\n" % header_text(request.tenant.label))
         if self.last_event_id is not None:
             parts.append(b"Last-Event-Id: %d\r\n" % self.last_event_id)
         if cache is not None:
@@ -283,9 +285,15 @@
         attempt.finish()
         return True
 
-    def _drop_rest(self, attempt: Attempt) -> None:
-        for _ in attempt.pieces():
-            pass
+    @staticmethod
+    def _drop_rest(attempt: Attempt) -> None:
+        """Read an answer that is not passed on to its end, so that the connection can be used again."""
+        try:
+            for _ in attempt.pieces():
+                pass
+        except AttemptFailed:
+            attempt.close()  # what its head promised holds, whatever becomes of its body
+            return
         attempt.finish()
 
     def _note_rejection(self, server: Server, head: http.Head) -> None:
@@ -358,7 +366,9 @@
                 self._begin_answer(attempt.head)
             first = False
             self.client.write(http.chunk(data))
-            self.last_event_id = events[-1].id if events[-1].id is not None else self.last_event_id
+            self.last_event_id = next(
+                (e.id for e in reversed(events) if e.id is not None), self.last_event_id
+            )
         if splitter.rest:
             raise AttemptFailed("the stream ends inside an event", ran=True)
         if not self.begun:
@@ -370,7 +380,7 @@
 
 
 def _cache_lines(cache: CacheUse) -> bytes:
-    lines = [b"Cache-Salt: %b\r\n" % cache.salt.encode("latin-1", "replace")]
+    lines = [b"Cache-Salt: %b\r\n" % header_text(cache.salt)]
     if cache.revision:
         lines.append(b"Expect-Version: %d\r\n" % cache.revision)
     if cache.fetch_from is not None:
--- a/iristrack/duties/lease.py
+++ b/iristrack/duties/lease.py
@@ -1,8 +1,8 @@
 """Whether a duty is held by this process, held by another, or vacant, by the monotonic clock alone.
 
-A holder renews by raising `renewals` in the register. Another process takes the duty for vacant once it has seen the
-same value for longer than the lease; the holder stops acting earlier, counted from when it began its last renewal, so
-that two holders are never active at once and never take turns within the lease.
+A holder renews by raising `renewals` in the register, and acts for `ACT_NS` after it began its last renewal. Another
+process takes the duty for vacant once it has seen the same value for that long and the lease besides: the last act of
+one holder and the first of the next lie further apart than the lease, so that holders never take turns within it.
 """
 
 from __future__ import annotations
@@ -12,9 +12,9 @@
 from iristrack.wire.messages import DutyValue
 
 NS_PER_MS = 1_000_000
-ACT_MARGIN_NS = 700 * NS_PER_MS  # the holder stops acting so long before its lease ends
-CLAIM_MARGIN_NS = 400 * NS_PER_MS  # and others wait so much longer
-RENEW_SHARE = 0.3  # of the lease between two renewals
+ACT_NS = 1200 * NS_PER_MS  # a renewal is good for so long
+CLAIM_MARGIN_NS = 200 * NS_PER_MS  # for clocks that do not run alike
+RENEW_NS = 400 * NS_PER_MS  # between two renewals
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,16 +59,15 @@
     def wants_claim(self, now: int) -> bool:
         """Is it time to claim the duty, or to renew it?"""
         if self.holding is not None:
-            begun = self.holding.act_until - self.lease_ns + ACT_MARGIN_NS
-            return now >= begun + int(self.lease_ns * RENEW_SHARE)
+            return now >= self.holding.act_until - ACT_NS + RENEW_NS
         if self._seen_at is None:
             return False
         if self._seen is None or (self._seen.owner, self._seen.process) == (self.node, self.process):
             return True
-        return now >= self._seen_at + self.lease_ns + CLAIM_MARGIN_NS
+        return now >= self._seen_at + ACT_NS + self.lease_ns + CLAIM_MARGIN_NS
 
     def claimed(self, value: DutyValue, began: int, now: int) -> None:
         """A claim or renewal that began at `began` has been committed."""
         self._seen = value
         self._seen_at = now
-        self.holding = Holding(value.fence, began + self.lease_ns - ACT_MARGIN_NS)
+        self.holding = Holding(value.fence, began + ACT_NS)
--- a/iristrack/engines/reports.py
+++ b/iristrack/engines/reports.py
@@ -32,5 +32,5 @@
             active=int(document.get("active", 0)),
             queued=int(document.get("queued", 0)),
         )
-    except (ValueError, KeyError, TypeError) as fault:
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as fault:
         raise MalformedReport(f"{type(fault).__name__}: {fault}") from fault
--- a/iristrack/http1/fetching.py
+++ b/iristrack/http1/fetching.py
@@ -37,7 +37,7 @@
         except BaseException:
             link.sock.close()
             raise
-        if message.head.keeps_alive:
+        if message.head.keeps_alive and link.reader.empty:
             self._link = link
         else:
             link.sock.close()
--- a/iristrack/http1/messages.py
+++ b/iristrack/http1/messages.py
@@ -8,6 +8,7 @@
 
 import re
 from dataclasses import dataclass
+from urllib.parse import quote
 
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024  # of a message that is kept whole
@@ -30,6 +31,8 @@
     }
 )  # fmt: skip
 
+_PLAIN_TEXT = "".join(chr(code) for code in range(0x21, 0x7F) if chr(code) != "%")
+
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     409: b"Conflict", 413: b"Content Too Large", 414: b"URI Too Long",
@@ -330,6 +333,11 @@
             self._state = "data" if self._at else "trailer"
 
 
+def header_text(text: str) -> bytes:
+    """Any text as a header's value, different texts as different values: what could end a line is percent-encoded."""
+    return quote(text, safe=_PLAIN_TEXT).encode("ascii")
+
+
 def framing(length: int | None) -> bytes:
     """The header line that tells where a body ends: a length, or chunks."""
     return b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
--- a/iristrack/http1/serving.py
+++ b/iristrack/http1/serving.py
@@ -99,11 +99,21 @@
             return False
         if message is None:
             return False
-        response = self.handler(message)
+        response = self._handle(message)
         keep = message.head.keeps_alive and not self.stopping
         self._write(sock, http.response(response.status, response.body, response.lines, close=not keep))
         return keep
 
+    def _handle(self, message: http.Message) -> Response:
+        try:
+            return self.handler(message)
+        except (Cancelled, OSError):
+            raise
+        except Exception:
+            # Guards the caller: whatever goes wrong in one call is an answer to it, and the next one is served.
+            self.scheduler.report_failure("a call failed")
+            return Response(500, b'{"message":"internal error"}')
+
     def _read(self, sock: socket.socket, reader: http.Reader) -> http.Message | None:
         message = None if reader.empty else reader.feed(b"")
         deadline = clock() + (IDLE_NS if reader.empty else REQUEST_NS)
--- a/iristrack/placement/engines.py
+++ b/iristrack/placement/engines.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
+from iristrack.placement.ranking import hash64, mix64
 from iristrack.placement.servers import Server
 
 
@@ -21,3 +22,11 @@
 def serving(servers: Iterable[Server], model: str, least_revision: int) -> list[Server]:
     """The servers that hold the model with weights of that revision or a newer one."""
     return [server for server in servers if server.revisions.get(model, 0) >= max(1, least_revision)]
+
+
+def store_of(key: str, stores: Sequence[str]) -> str | None:
+    """The store that keeps what a key names, by rank of hash, so that several stores share the keys."""
+    if not stores:
+        return None
+    seed = hash64(key)
+    return min(stores, key=lambda store: mix64(seed ^ hash64(store)))
--- a/iristrack/platform_api/server_list.py
+++ b/iristrack/platform_api/server_list.py
@@ -29,7 +29,7 @@
         page = json.loads(body)
         entries = [_entry(row) for row in page["servers"]]
         token = page.get("next_token")
-    except (ValueError, KeyError, TypeError, AttributeError) as fault:
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
         raise MalformedList(f"{type(fault).__name__}: {fault}") from fault
     if token is not None and not isinstance(token, str):
         raise MalformedList("next_token is no text")
--- a/iristrack/relay/topics.py
+++ b/iristrack/relay/topics.py
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         """Nothing is known."""
         self._updates: dict[str, Update] = {}
+        self._seen: dict[str, int] = {}
 
     def learn(self, update: Update) -> bool:
         """Take an update; whether it was newer than what was known."""
@@ -36,7 +37,13 @@
     def next_sequence(self, topic: str) -> int:
         """A sequence above the newest known one."""
         known = self._updates.get(topic)
-        return 1 if known is None else known.sequence + 1
+        return max(0 if known is None else known.sequence, self._seen.get(topic, 0)) + 1
+
+    def saw(self, versions: Iterable[Version]) -> None:
+        """Others know these: a process that began anew must not count below what they remember."""
+        for version in versions:
+            if version.topic in self._seen or len(self._seen) < MOST_TOPICS:
+                self._seen[version.topic] = max(version.sequence, self._seen.get(version.topic, 0))
 
     def get(self, topic: str) -> Update | None:
         """The newest update of a topic."""
--- a/iristrack/runtime/scheduler.py
+++ b/iristrack/runtime/scheduler.py
@@ -170,10 +170,10 @@
             heapq.heapify(self._timers)
             self._stale = 0
 
-    def watch(self, fd: int, call: Callable[[], None]) -> None:
+    def watch(self, fd: int, call: Callable[[], None], events: int = READ) -> None:
         """Have `call` made by the loop whenever `fd` is readable or broken, until `unwatch`."""
         self._waiting[fd] = call
-        self._poll.register(fd, READ)
+        self._poll.register(fd, events)
 
     def unwatch(self, fd: int) -> None:
         """End a `watch`; to be done before the descriptor is closed."""
--- a/iristrack/simulation/fleet.py
+++ b/iristrack/simulation/fleet.py
@@ -74,7 +74,8 @@
     violations: list[str] = field(default_factory=list)
     figures: Counter[str] = field(default_factory=Counter)
     in_force_ms: list[float] = field(default_factory=list)
-    settled_ms: list[float] = field(default_factory=list)
+    settled_ms: list[float] = field(default_factory=list)  # after the loss of one sidecar
+    zone_settled_ms: list[float] = field(default_factory=list)  # after the loss of all of a zone at once
     rates: dict[str, float] = field(default_factory=dict)  # in a second of the calm time, by kind of process
 
 
@@ -107,7 +108,11 @@
         if self.scenario.calm_publications:
             self._measure_calm()
         for _ in range(self.scenario.calm_crashes):
-            self._measure_crash()
+            self._measure_loss([self.rng.choice(self.sidecars)], self.result.settled_ms)
+        if self.scenario.calm_crashes and self.scenario.zones > 1:
+            zone = self.rng.choice(self.sidecars).zone
+            lost = [p for p in self.sidecars if p.zone == zone]
+            self._measure_loss(lost, self.result.zone_settled_ms)
         self._faulty = True
         end = self.queue.now + self.scenario.faults_ns
         self._publish_until(end + AFTER_NS)
@@ -139,19 +144,20 @@
             self._publish()
             self.queue.run_until(self.queue.now + SECOND + self.rng.randrange(SECOND))
 
-    def _measure_crash(self) -> None:
-        """The time from a loss of power until nobody takes the member for alive."""
-        victim = self.rng.choice(self.sidecars)
+    def _measure_loss(self, victims: list[Sidecar], times_ms: list[float]) -> None:
+        """The time from a loss of power until nobody takes one of them for alive; they return afterwards."""
         began = self.queue.now
-        self._crash(victim, power=True)
-        while self.queue.now - began < GONE_LIMIT_NS and self._is_held_alive(victim):
+        for victim in victims:
+            self._crash(victim, power=True)
+        while self.queue.now - began < GONE_LIMIT_NS and self._is_any_held_alive(victims):
             self.queue.run_until(self.queue.now + GONE_POLL_NS)
-        self.result.settled_ms.append((self.queue.now - began) / MILLISECOND)
-        self._start(victim)
+        times_ms.append((self.queue.now - began) / MILLISECOND)
+        for victim in victims:
+            self._start(victim)
         self.queue.run_until(self.queue.now + self.scenario.settle_ns)
 
-    def _is_held_alive(self, victim: Process) -> bool:
-        records = (p.view.get(victim.node) for p in self.processes if p.up and p is not victim)
+    def _is_any_held_alive(self, victims: list[Sidecar]) -> bool:
+        records = (p.view.get(victim.node) for p in self.processes if p.up for victim in victims)
         return any(record is not None and record.alive for record in records)
 
     def _publish(self) -> None:
@@ -337,10 +343,11 @@
     parser = argparse.ArgumentParser(prog="python -m iristrack.simulation.fleet", description=__doc__)
     parser.add_argument("--sidecars", type=int, default=100)
     parser.add_argument("--core", type=int, default=5, help="core members")
+    parser.add_argument("--zones", type=int, default=7)
     parser.add_argument("--seeds", type=int, default=20, help="number of seeds to run")
     parser.add_argument("--first-seed", type=int, default=0)
     options = parser.parse_args(arguments)
-    scenario = Scenario(sidecars=options.sidecars, core=options.core)
+    scenario = Scenario(sidecars=options.sidecars, core=options.core, zones=options.zones)
     results = []
     for seed in range(options.first_seed, options.first_seed + options.seeds):
         fleet = FleetSimulation(scenario, seed)
@@ -353,9 +360,14 @@
 
 def _line(options: argparse.Namespace, results: list[RunResult], cost_us: float) -> str:
     figures: Counter[str] = Counter()
-    parts = [f"sidecars={options.sidecars}", f"core={options.core}", f"seeds={options.seeds}"]
-    for name in ("in_force_ms", "settled_ms"):
-        times = [ms for result in results for ms in getattr(result, name)]
+    parts = [
+        f"sidecars={options.sidecars}",
+        f"core={options.core}",
+        f"zones={options.zones}",
+        f"seeds={options.seeds}",
+    ]
+    for name in ("in_force_ms", "settled_ms", "zone_settled_ms"):
+        times = [ms for result in results for ms in getattr(result, name)] or [0]
         parts += [f"{name}_median={statistics.median(times):.0f}", f"{name}_worst={max(times):.0f}"]
     for name in results[0].rates:
         rates = [result.rates[name] for result in results]
--- /dev/null
+++ b/tests/controlplane/peers.py
@@ -0,0 +1,22 @@
+"""Connections that keep what is sent over them."""
+
+from __future__ import annotations
+
+from iristrack.wire.codec import FrameReader, encode
+from iristrack.wire.messages import Message
+
+
+class Peer:
+    def __init__(self) -> None:
+        self.sent: list[Message] = []
+        self.closed = False
+
+    def send(self, message: Message) -> None:
+        self.send_frame(encode(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        self.sent.extend(FrameReader().feed(frame))
+
+    def take(self) -> list[Message]:
+        sent, self.sent = self.sent, []
+        return sent
--- /dev/null
+++ b/tests/controlplane/test_changes.py
@@ -0,0 +1,212 @@
+from __future__ import annotations
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from iristrack.configuration.document import parse_configuration
+from iristrack.configuration.model import Configuration
+from iristrack.controlplane.changes import (
+    BASE_DIFFERS,
+    HELD,
+    MOST_TAKEN,
+    NOT_HIGHER,
+    claim_duty,
+    name_version,
+    replace_configuration,
+    unchanged,
+)
+from iristrack.register import Refuse, Unchanged
+from iristrack.wire.messages import ConfigurationValue, DutyValue, ModelRevision, TakenRevision, VersionsValue
+from iristrack.wire.values import decode_value
+
+
+def body(revision: int, label: str = "pool") -> bytes:
+    return json.dumps({"revision": revision, "route_table": [], "services": [{"label": label}]}).encode()
+
+
+def configuration(revision: int, label: str = "pool") -> Configuration:
+    return parse_configuration(body(revision, label))
+
+
+def replace(value: bytes, revision: int, base: int, label: str = "pool"):
+    change = replace_configuration(configuration(revision, label), body(revision, label), base)
+    return change(value)
+
+
+def decoded(value: bytes) -> ConfigurationValue:
+    return decode_value(value, ConfigurationValue)
+
+
+# ---- configurations
+
+
+def test_the_first_builds_on_nothing() -> None:
+    value = replace(b"", 5, 0)
+    taken = (TakenRevision(5, configuration(5).digest),)
+    assert decoded(value) == ConfigurationValue(1, 5, body(5), taken)
+    assert replace(b"", 5, 3) == Refuse(BASE_DIFFERS)
+
+
+def test_the_next_builds_on_the_current_one_and_is_higher() -> None:
+    first = replace(b"", 5, 0)
+    second = replace(first, 9, 5)
+    assert (decoded(second).sequence, decoded(second).revision, decoded(second).body) == (2, 9, body(9))
+    assert replace(second, 12, 5) == Refuse(BASE_DIFFERS)
+    assert replace(second, 12, 0) == Refuse(BASE_DIFFERS)
+    assert replace(second, 8, 9) == Refuse(NOT_HIGHER)
+    assert replace(second, 9, 9, "other") == Refuse(NOT_HIGHER)
+
+
+def test_one_of_two_on_the_same_base_is_taken() -> None:
+    first = replace(b"", 5, 0)
+    won = replace(first, 7, 5, "one")
+    assert replace(won, 7, 5, "other") == Refuse(BASE_DIFFERS)
+    assert replace(won, 8, 5, "other") == Refuse(BASE_DIFFERS)
+
+
+def test_what_was_taken_already_is_taken_even_after_newer_ones() -> None:
+    value = replace(b"", 5, 0)
+    assert replace(value, 5, 0) == Unchanged()
+    for revision in range(6, 20):
+        value = replace(value, revision, revision - 1)
+    assert replace(value, 5, 0) == Unchanged()
+    assert replace(value, 12, 11) == Unchanged()
+    assert replace(value, 12, 11, "other content") == Refuse(BASE_DIFFERS)
+
+
+def test_the_history_is_bounded_and_keeps_the_newest() -> None:
+    value = b""
+    for revision in range(1, MOST_TAKEN + 40):
+        value = replace(value, revision, revision - 1)
+    taken = decoded(value).taken
+    assert [t.revision for t in taken] == list(range(40, MOST_TAKEN + 40))
+    assert replace(value, MOST_TAKEN + 39, MOST_TAKEN + 38) == Unchanged()
+
+
+def test_a_change_can_be_asked_again_of_the_same_value() -> None:
+    change = replace_configuration(configuration(5), body(5), 0)
+    assert change(b"") == change(b"")
+    assert change(change(b"")) == Unchanged()
+
+
+def test_a_read_changes_nothing() -> None:
+    assert unchanged(b"") == Unchanged()
+    assert unchanged(replace(b"", 5, 0)) == Unchanged()
+
+
+class ConfigurationRegister(RuleBasedStateMachine):
+    """The register's value under any calls, against a list of what was taken."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.value = b""
+        self.taken: list[tuple[int, str]] = []
+
+    @property
+    def revision(self) -> int:
+        return self.taken[-1][0] if self.taken else 0
+
+    def call(self, revision: int, base: int, label: str) -> None:
+        outcome = replace(self.value, revision, base, label)
+        if (revision, label) in self.taken:
+            assert outcome == Unchanged()
+        elif base != self.revision:
+            assert outcome == Refuse(BASE_DIFFERS)
+        elif revision <= self.revision:
+            assert outcome == Refuse(NOT_HIGHER)
+        else:
+            self.value = outcome
+            self.taken.append((revision, label))
+
+    @rule(step=st.integers(1, 3), label=st.sampled_from("ab"))
+    def build_on_the_current_one(self, step: int, label: str) -> None:
+        self.call(self.revision + step, self.revision, label)
+
+    @rule(revision=st.integers(1, 40), base=st.integers(0, 40), label=st.sampled_from("ab"))
+    def call_anything(self, revision: int, base: int, label: str) -> None:
+        self.call(revision, base, label)
+
+    @rule(data=st.data())
+    def repeat(self, data: st.DataObject) -> None:
+        if self.taken:
+            at = data.draw(st.integers(0, len(self.taken) - 1))
+            before = self.taken[at - 1][0] if at else 0
+            self.call(self.taken[at][0], before, self.taken[at][1])
+
+    @invariant()
+    def the_value_is_the_newest_taken(self) -> None:
+        if not self.taken:
+            assert self.value == b""
+            return
+        now = decoded(self.value)
+        revision, label = self.taken[-1]
+        assert (now.sequence, now.revision, now.body) == (len(self.taken), revision, body(revision, label))
+        revisions = [t.revision for t in now.taken]
+        assert revisions == sorted(set(revisions)) == [number for number, _ in self.taken]
+
+
+TestConfigurationRegister = ConfigurationRegister.TestCase
+
+
+# ---- weights
+
+
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.integers(1, 9)), max_size=30))
+def test_named_versions_only_rise_and_each_model_has_its_own(calls) -> None:
+    value, newest, changes = b"", {}, 0
+    for model, revision in calls:
+        outcome = name_version(model, revision)(value)
+        if revision <= newest.get(model, 0):
+            assert outcome == Unchanged()
+            continue
+        value, changes = outcome, changes + 1
+        newest[model] = revision
+        named = tuple(ModelRevision(name, newest[name]) for name in sorted(newest))
+        assert decode_value(value, VersionsValue) == VersionsValue(changes, named)
+
+
+# ---- duties
+
+
+def duty(value: bytes) -> DutyValue:
+    return decode_value(value, DutyValue)
+
+
+def test_a_vacant_duty_goes_to_whoever_saw_it_so() -> None:
+    value = claim_duty("n1", "p1", None)(b"")
+    assert duty(value) == DutyValue(1, "n1", "p1", 1, 0)
+    assert claim_duty("n2", "p2", None)(value) == Refuse(HELD)
+    assert duty(claim_duty("n2", "p2", duty(value))(value)) == DutyValue(2, "n2", "p2", 2, 0)
+
+
+def test_a_holder_goes_on_with_its_fence() -> None:
+    value = claim_duty("n1", "p1", None)(b"")
+    for renewals in range(1, 4):
+        value = claim_duty("n1", "p1", None)(value)
+        assert duty(value) == DutyValue(1 + renewals, "n1", "p1", 1, renewals)
+
+
+def test_a_holder_that_lives_is_not_robbed_by_one_who_saw_less() -> None:
+    first = claim_duty("n1", "p1", None)(b"")
+    renewed = claim_duty("n1", "p1", None)(first)
+    assert claim_duty("n2", "p2", duty(first))(renewed) == Refuse(HELD)
+    assert claim_duty("n1", "p9", duty(first))(renewed) == Refuse(HELD)  # the machine's next process
+
+
+@given(st.lists(st.tuples(st.sampled_from(["p1", "p2", "p3"]), st.integers(0, 3)), max_size=40))
+def test_a_fence_belongs_to_one_holder_and_only_rises(claims) -> None:
+    value, seen, holders = b"", [None], {}
+    for process, back in claims:
+        expected = seen[max(0, len(seen) - 1 - back)]
+        outcome = claim_duty("n", process, expected)(value)
+        if isinstance(outcome, Refuse):
+            continue
+        before, now = duty(value) if value else None, duty(outcome)
+        assert now.sequence == (before.sequence if before else 0) + 1
+        assert now.fence >= (before.fence if before else 0)
+        assert holders.setdefault(now.fence, process) == process
+        value = outcome
+        seen.append(now)
--- /dev/null
+++ b/tests/controlplane/test_distribution.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from iristrack.controlplane.distribution import Distribution
+from iristrack.relay.topics import TopicTable
+from iristrack.wire.messages import Heartbeat, Subscribe, Update, Version
+from tests.controlplane.peers import Peer
+
+
+def make() -> tuple[Distribution, list[Update]]:
+    told: list[Update] = []
+    return Distribution(told.append), told
+
+
+def update(topic: str, sequence: int) -> Update:
+    return Update(topic, sequence, b"%d" % sequence)
+
+
+def heartbeat(*known: Version) -> Heartbeat:
+    return Heartbeat("n", "p", 1, known)
+
+
+def test_a_subscriber_is_told_what_it_lacks_and_then_every_change() -> None:
+    distribution, _ = make()
+    distribution.publish(update("a", 1))
+    distribution.publish(update("b", 5))
+    peer = Peer()
+    distribution.subscribe(peer, Subscribe((Version("b", 5),)))
+    assert peer.take() == [update("a", 1)]
+    distribution.publish(update("a", 2))
+    distribution.hear(update("b", 6))
+    assert peer.take() == [update("a", 2), update("b", 6)]
+
+
+def test_a_subscriber_without_push_is_told_by_its_heartbeats_alone() -> None:
+    distribution, _ = make()
+    peer = Peer()
+    distribution.subscribe(peer, Subscribe((), push=False))
+    distribution.publish(update("a", 1))
+    assert peer.take() == []
+    distribution.on_heartbeat(peer, heartbeat())
+    assert peer.take() == [update("a", 1)]
+    distribution.on_heartbeat(peer, heartbeat(Version("a", 1)))
+    assert peer.take() == []
+
+
+def test_a_later_subscription_takes_the_place_of_the_earlier() -> None:
+    distribution, _ = make()
+    peer = Peer()
+    distribution.subscribe(peer, Subscribe((), push=False))
+    distribution.subscribe(peer, Subscribe(()))
+    distribution.publish(update("a", 1))
+    assert peer.take() == [update("a", 1)]
+    distribution.subscribe(peer, Subscribe((Version("a", 1),), push=False))
+    distribution.publish(update("a", 2))
+    assert peer.take() == []
+
+
+def test_a_push_that_was_lost_is_repaired_by_a_heartbeat() -> None:
+    distribution, _ = make()
+    peer = Peer()
+    distribution.subscribe(peer, Subscribe(()))
+    distribution.publish(update("a", 1))
+    peer.take()  # it never arrives
+    distribution.on_heartbeat(peer, heartbeat())
+    assert peer.take() == [update("a", 1)]
+
+
+def test_heartbeats_of_those_who_did_not_subscribe_are_not_answered() -> None:
+    distribution, _ = make()
+    distribution.publish(update("a", 1))
+    peer = Peer()
+    distribution.on_heartbeat(peer, heartbeat())
+    assert peer.take() == []
+
+
+def test_who_is_gone_is_told_nothing() -> None:
+    distribution, _ = make()
+    peer = Peer()
+    distribution.subscribe(peer, Subscribe(()))
+    distribution.forget(peer)
+    distribution.forget(peer)
+    distribution.publish(update("a", 1))
+    assert peer.take() == []
+
+
+def test_only_what_is_new_here_goes_to_the_other_members_and_only_if_it_began_here() -> None:
+    distribution, told = make()
+    distribution.publish(update("a", 2))
+    distribution.publish(update("a", 2))
+    distribution.publish(update("a", 1))
+    distribution.hear(update("a", 3))
+    assert told == [update("a", 2)]
+
+
+def test_what_was_learned_is_told_within_this_process_once() -> None:
+    distribution, _ = make()
+    learned: list[Update] = []
+    distribution.on_learned.append(learned.append)
+    for news in (update("a", 2), update("a", 1), update("a", 2), update("a", 3)):
+        distribution.hear(news)
+    assert learned == [update("a", 2), update("a", 3)]
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["publish", "hear", "heartbeat", "subscribe", "pull"]),
+        st.sampled_from("ab"),
+        st.integers(0, 12),
+        st.booleans(),
+    ),
+    max_size=60,
+)
+
+
+@given(STEPS)
+def test_a_subscriber_never_gets_an_older_value_and_catches_up(steps) -> None:
+    distribution, _ = make()
+    peer, table = Peer(), TopicTable()
+    distribution.subscribe(peer, Subscribe(()))
+    newest: dict[str, int] = {}
+
+    def receive(lost: bool) -> None:
+        for sent in peer.take():
+            assert sent.sequence == newest[sent.topic]
+            if not lost:
+                table.learn(sent)
+
+    for step, topic, sequence, lost in steps:
+        if step in ("publish", "hear"):
+            news = update(topic, sequence)
+            if sequence > newest.get(topic, -1):
+                newest[topic] = sequence
+            getattr(distribution, step)(news)
+        elif step == "heartbeat":
+            distribution.on_heartbeat(peer, heartbeat(*table.versions()))
+        else:
+            distribution.subscribe(peer, Subscribe(table.versions(), push=step == "subscribe"))
+        receive(lost)
+    distribution.on_heartbeat(peer, heartbeat(*table.versions()))
+    receive(lost=False)
+    assert {version.topic: version.sequence for version in table.versions()} == newest
--- /dev/null
+++ b/tests/controlplane/test_load_hub.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from iristrack.controlplane import load_hub
+from iristrack.controlplane.load_hub import LoadHub
+from iristrack.wire.messages import ServerLoad, ServerLoads
+from tests.controlplane.peers import Peer
+
+LOADS = st.dictionaries(st.sampled_from("abc"), st.integers(1, 9), max_size=3)
+
+
+class Clock:
+    """Stands in for the scheduler: its timers are called by the test."""
+
+    def __init__(self) -> None:
+        self.now = 10**12
+        self.calls: list[tuple[int, object]] = []
+
+    def call_at(self, when: int, call) -> None:
+        self.calls.append((when, call))
+
+    def turn(self, ns: int = load_hub.TELL_NS) -> None:
+        self.now += ns
+        due, self.calls = self.calls, []
+        for _, call in due:
+            call()
+
+
+@pytest.fixture
+def clock(monkeypatch) -> Clock:
+    stand_in = Clock()
+    monkeypatch.setattr(load_hub, "clock", lambda: stand_in.now)
+    return stand_in
+
+
+def make(clock: Clock) -> tuple[LoadHub, list[ServerLoads]]:
+    told: list[ServerLoads] = []
+    return LoadHub(clock, "core-1", told.append), told
+
+
+def loads(node: str, count: int, requests: dict[str, int]) -> ServerLoads:
+    return ServerLoads(node, count, tuple(ServerLoad(i, n, 2 * n) for i, n in requests.items()))
+
+
+def as_dict(message: ServerLoads) -> dict[str, tuple[int, int]]:
+    return {load.instance: (load.requests, load.pieces) for load in message.loads}
+
+
+def test_a_sidecar_is_told_of_the_others_and_not_of_itself(clock: Clock) -> None:
+    hub, _ = make(clock)
+    first, second = Peer(), Peer()
+    hub.from_sidecar(first, loads("edge-1", 1, {"a": 1, "b": 2}))
+    hub.from_sidecar(second, loads("edge-2", 1, {"b": 4}))
+    hub.from_member(loads("core-2", 1, {"b": 8, "c": 16}))
+    clock.turn()
+    assert as_dict(first.take()[-1]) == {"b": (12, 24), "c": (16, 32)}
+    assert as_dict(second.take()[-1]) == {"a": (1, 2), "b": (10, 20), "c": (16, 32)}
+
+
+@given(st.lists(LOADS, min_size=1, max_size=4), st.lists(LOADS, max_size=3))
+def test_each_sum_holds_everyone_but_the_receiver(sidecars, members) -> None:
+    stand_in = Clock()
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(load_hub, "clock", lambda: stand_in.now)
+        hub, told = make(stand_in)
+        peers = [Peer() for _ in sidecars]
+        for number, (peer, requests) in enumerate(zip(peers, sidecars, strict=True)):
+            hub.from_sidecar(peer, loads(f"edge-{number}", 1, requests))
+        for number, requests in enumerate(members):
+            hub.from_member(loads(f"core-{number + 2}", 1, requests))
+        stand_in.turn()
+
+    def total(parts) -> dict[str, tuple[int, int]]:
+        sums: dict[str, int] = {}
+        for part in parts:
+            for instance, count in part.items():
+                sums[instance] = sums.get(instance, 0) + count
+        return {instance: (count, 2 * count) for instance, count in sums.items()}
+
+    assert as_dict(told[-1]) == total(sidecars)  # members are told of this member's sidecars alone
+    for number, peer in enumerate(peers):
+        others = [part for at, part in enumerate(sidecars) if at != number]
+        assert as_dict(peer.take()[-1]) == total([*others, *members])
+
+
+def test_nothing_new_is_nothing_told(clock: Clock) -> None:
+    hub, told = make(clock)
+    peer = Peer()
+    hub.from_sidecar(peer, loads("edge-1", 1, {"a": 1}))
+    clock.turn()
+    peer.take()
+    told.clear()
+    hub.from_sidecar(peer, loads("edge-1", 1, {"a": 9}))  # the same count: told before
+    clock.turn()
+    assert (peer.take(), told) == ([], [])
+
+
+def test_sums_are_counted_so_that_an_older_one_is_known(clock: Clock) -> None:
+    hub, told = make(clock)
+    for count in (1, 2, 3):
+        hub.from_sidecar(Peer(), loads("edge-1", count, {"a": count}))
+        clock.turn()
+    assert [message.count for message in told] == [1, 2, 3]
+    assert all(message.node == "core-1" for message in told)
+
+
+def test_a_sidecar_that_fell_silent_counts_for_nothing(clock: Clock) -> None:
+    hub, _ = make(clock)
+    silent, peer = Peer(), Peer()
+    hub.from_sidecar(silent, loads("edge-1", 1, {"a": 5}))
+    hub.from_sidecar(peer, loads("edge-2", 1, {"b": 1}))
+    clock.turn()
+    clock.turn(900_000_000)
+    hub.from_sidecar(peer, loads("edge-2", 2, {"b": 2}))
+    clock.turn(200_000_000)
+    assert as_dict(peer.take()[-1]) == {}
+
+
+def test_a_sidecar_that_reconnects_is_told_over_its_new_connection_alone(clock: Clock) -> None:
+    hub, _ = make(clock)
+    old, new = Peer(), Peer()
+    hub.from_sidecar(old, loads("edge-1", 1, {"a": 5}))
+    old.closed = True
+    hub.from_sidecar(new, loads("edge-1", 2, {"a": 6}))
+    clock.turn()
+    assert old.take() == []
+    assert as_dict(new.take()[-1]) == {}
--- /dev/null
+++ b/tests/controlplane/test_operator_api.py
@@ -0,0 +1,277 @@
+"""The operator's calls at a register, real or standing in, and what is told of them."""
+
+from __future__ import annotations
+
+import json
+import random
+import traceback
+from collections.abc import Callable
+from types import SimpleNamespace
+
+import pytest
+
+from iristrack.controlplane import changes
+from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
+from iristrack.controlplane.register_host import RegisterHost
+from iristrack.register import Committed, Overtaken, Rejected, Unavailable
+from iristrack.relay import topics
+from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.store.cell_format import encode_record
+from iristrack.store.framing import TooLarge
+from iristrack.wire.messages import NO_BALLOT, ConfigurationValue, Update, VersionsValue
+from iristrack.wire.values import decode_value, encode_value
+from tests.configuration.samples import encode, sample_document
+from tests.controlplane.calls import Log, message, replace_call, version_call
+
+MEMBERS = ("core:1", "core:2", "core:3")
+PATIENCE_NS = 10**10
+BODY = encode(sample_document())
+TAKEN = ConfigurationValue(4, 9, b'{"revision": 9}')
+
+
+STATUS = {"node": "core-1"}
+
+
+def make_api(register, publish) -> OperatorApi:
+    def tell_status(with_servers: bool) -> dict:
+        return STATUS | {"servers": with_servers}
+
+    return OperatorApi(register=register, publish=publish, tell_status=tell_status, log=Log())
+
+
+# ---- results and their answers
+
+
+def answer(result, call) -> tuple[object, list[Update]]:
+    told: list[Update] = []
+    register = SimpleNamespace(change=lambda key, change, deadline: result)
+    return make_api(register, told.append).answer(call), told
+
+
+READ = message(b"GET", b"/config/read")
+REPLACE = replace_call(BODY)
+NAME = version_call({"model_name": "m", "revision": 2})
+
+
+@pytest.mark.parametrize(
+    ("call", "result", "status"),
+    [
+        (REPLACE, Committed(encode_value(TAKEN), NO_BALLOT), 200),
+        (REPLACE, Rejected(changes.BASE_DIFFERS, encode_value(TAKEN)), 412),
+        (REPLACE, Overtaken(changes.BASE_DIFFERS, encode_value(TAKEN)), 412),
+        (REPLACE, Rejected(changes.NOT_HIGHER, encode_value(TAKEN)), 400),
+        (REPLACE, Unavailable(in_doubt=False), 503),
+        (REPLACE, Unavailable(in_doubt=True), 503),
+        (READ, Committed(encode_value(TAKEN), NO_BALLOT), 200),
+        (READ, Committed(b"", NO_BALLOT), 404),
+        (READ, Unavailable(in_doubt=False), 503),
+        (NAME, Committed(encode_value(VersionsValue(1)), NO_BALLOT), 200),
+        (NAME, Unavailable(in_doubt=True), 503),
+        (replace_call(b"{"), None, 400),
+        (message(b"GET", b"/odd"), None, 404),
+    ],
+)
+def test_each_result_has_its_status(call, result, status: int) -> None:
+    response, _ = answer(result, call)
+    assert response.status == status
+    if status in (400, 404, 412, 503):
+        json.loads(response.body)
+    assert (b"Retry-After" in response.lines) == (status == 503)
+
+
+def test_reading_gives_the_body_as_it_was_sent() -> None:
+    response, _ = answer(Committed(encode_value(ConfigurationValue(4, 7, BODY)), NO_BALLOT), READ)
+    assert response.body == BODY
+
+
+@pytest.mark.parametrize("call", [READ, REPLACE])
+@pytest.mark.parametrize(
+    "result", [Committed(encode_value(TAKEN), NO_BALLOT), Rejected("why", encode_value(TAKEN))]
+)
+def test_only_what_is_committed_is_told(call, result) -> None:
+    _, told = answer(result, call)
+    if isinstance(result, Committed) or call is REPLACE:
+        assert told == [Update(topics.CONFIGURATION, 4, encode_value(TAKEN))]
+    else:
+        assert told == []
+    assert answer(Unavailable(in_doubt=True), call)[1] == []
+
+
+@pytest.mark.parametrize(
+    ("target", "servers"), [(b"/system/status", False), (b"/system/status?servers", True)]
+)
+def test_the_status_is_told_without_asking_the_register(target: bytes, servers: bool) -> None:
+    response, told = answer(None, message(b"GET", target))
+    assert (response.status, told) == (200, [])
+    assert json.loads(response.body) == STATUS | {"servers": servers}
+
+
+def test_findings_name_their_places() -> None:
+    response, _ = answer(None, replace_call(b"{}"))
+    rows = json.loads(response.body)["findings"]
+    assert {"place", "message", "remedy"} == set(rows[0])
+
+
+# ---- at a register of three members in this process
+
+
+class Disk:
+    """Syncs in a later turn of the loop, in order; what the real one would not take fails."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self.scheduler = scheduler
+        self.records: list[object] = []
+
+    def submit(self, records: list[object], on_done: Callable[[bool], None]) -> None:
+        def written() -> None:
+            try:
+                for record in records:
+                    encode_record(record)
+            except TooLarge:
+                on_done(False)
+                return
+            self.records.extend(records)
+            on_done(True)
+
+        self.scheduler.call_at(clock(), written)
+
+
+class Core:
+    def __init__(self) -> None:
+        self.failures: list[str] = []
+        self.scheduler = Scheduler(lambda text: self.failures.append(f"{text}\n{traceback.format_exc()}"))
+        self.cut: set[str] = set()
+        self.hosts: dict[str, RegisterHost] = {}
+        self.told: list[Update] = []
+        for name in MEMBERS:
+            opened = SimpleNamespace(blobs={}, identity=None, cells={}, store=SimpleNamespace(node=name))
+            host = RegisterHost(
+                self.scheduler,
+                name,
+                opened,
+                Disk(self.scheduler),
+                self._send_from(name),
+                topics.REGISTERS,
+                Log(),
+            )
+            host.rng = random.Random(name)
+            host.form(MEMBERS, lambda: None)
+            self.hosts[name] = host
+        self.apis = [make_api(host, self.told.append) for host in self.hosts.values()]
+        self.run(self._wait_for_votes)
+
+    def _wait_for_votes(self) -> None:
+        while not all(host.voting for host in self.hosts.values()):
+            self.scheduler.call_at(clock(), self.scheduler.current.wake)
+            self.scheduler.wait(-1, 0, None)
+
+    def _send_from(self, sender: str) -> Callable:
+        def send(member: str, message) -> None:
+            if {sender, member} & self.cut:
+                return
+
+            def reply(answer) -> None:
+                self.scheduler.call_at(clock(), self.hosts[sender].handle, answer, lambda _: None)
+
+            self.scheduler.call_at(clock(), self.hosts[member].handle, message, reply)
+
+        return send
+
+    def run(self, *calls: Callable[[], object]) -> list:
+        results: list = [None] * len(calls)
+        left = set(range(len(calls)))
+
+        def run_call(number: int) -> None:
+            try:
+                results[number] = calls[number]()
+            finally:
+                left.discard(number)
+                if not left:
+                    self.scheduler.stop()
+
+        for number in range(len(calls)):
+            self.scheduler.spawn(f"call {number}", run_call, number)
+        self.scheduler._stopped = False
+        guard = self.scheduler.call_at(clock() + PATIENCE_NS, self.scheduler.stop)
+        self.scheduler.run()
+        guard.cancel()
+        assert not self.failures, "\n".join(self.failures)
+        assert not left, "a call got no answer"
+        return results
+
+    def status(self, call, member: int = 0) -> int:
+        (response,) = self.run(lambda: self.apis[member].answer(call))
+        return response.status
+
+
+def document(revision: int, label: str = "pool") -> bytes:
+    return json.dumps({"revision": revision, "route_table": [], "services": [{"label": label}]}).encode()
+
+
+def test_a_configuration_is_taken_once_and_read_back_anywhere() -> None:
+    core = Core()
+    assert core.status(READ) == 404
+    assert core.status(replace_call(document(5), "0")) == 200
+    assert core.status(replace_call(document(5), "0"), member=1) == 200
+    assert core.status(replace_call(document(7), "0"), member=2) == 412
+    assert core.status(replace_call(document(3), "5"), member=2) == 400
+    assert core.status(replace_call(document(7), "5"), member=1) == 200
+    for api in core.apis:
+        (response,) = core.run(lambda api=api: api.answer(READ))
+        assert (response.status, response.body) == (200, document(7))
+    sequences = [update.sequence for update in core.told]
+    assert sequences == sorted(sequences)
+    assert all(not host._running for host in core.hosts.values())
+
+
+def test_one_of_two_operators_on_the_same_base_prevails() -> None:
+    core = Core()
+    core.status(replace_call(document(5), "0"))
+    responses = core.run(
+        *(
+            lambda api=api, label=label: api.answer(replace_call(document(8, label), "5"))
+            for api, label in zip(core.apis, ("one", "two", "three"), strict=True)
+        )
+    )
+    statuses = [response.status for response in responses]
+    assert sorted(statuses) == [200, 412, 412]
+    winner = ("one", "two", "three")[statuses.index(200)]
+    (response,) = core.run(lambda: core.apis[0].answer(READ))
+    assert response.body == document(8, winner)
+
+
+def test_a_minority_acknowledges_nothing(monkeypatch) -> None:
+    monkeypatch.setattr("iristrack.controlplane.operator_api.CALL_NS", 30_000_000)
+    core = Core()
+    core.status(replace_call(document(5), "0"))
+    core.cut = set(MEMBERS[1:])
+    assert core.status(replace_call(document(8), "5")) == 503
+    assert core.status(READ) == 503
+    core.cut = set()
+    assert core.status(READ) == 200
+
+
+def test_versions_only_rise_at_the_register() -> None:
+    core = Core()
+    for revision in (2, 5, 3):
+        assert core.status(version_call({"model_name": "m", "revision": revision})) == 200
+    named = decode_value(core.told[-1].value, VersionsValue)
+    assert [(v.model, v.revision) for v in named.versions] == [("m", 5)]
+
+
+@pytest.mark.parametrize(
+    "call",
+    [
+        version_call(b'{"model_name": "\\ud800", "revision": 2}'),
+        version_call(b"[" * 100_000),
+        replace_call(b"[" * 100_000),
+        replace_call(b'{"revision": 1, "route_table": [], "services": [{"label": "\\ud800"}]}'),
+        replace_call(document(1, "x" * (MOST_BODY - 100))),
+    ],
+    ids=["surrogate", "deep version", "deep configuration", "surrogate label", "largest"],
+)
+def test_an_odd_call_is_answered_and_the_next_one_too(call) -> None:
+    core = Core()
+    assert core.status(call) in (200, 400, 413)
+    assert all(host.voting for host in core.hosts.values())
+    assert core.status(version_call({"model_name": "m", "revision": 1})) == 200
--- /dev/null
+++ b/tests/dataplane/test_clients.py
@@ -0,0 +1,208 @@
+"""Clients' connections: kept, bounded, timed out and ended."""
+
+from __future__ import annotations
+
+import pytest
+
+from iristrack.dataplane import clients
+from iristrack.http1 import messages as http
+from tests.dataplane.stand import (
+    SEALED,
+    Client,
+    Conversation,
+    Received,
+    Stand,
+    asking,
+    event,
+    stream,
+    yield_turn,
+)
+
+NS_PER_MS = 1_000_000
+
+
+def echo(conversation: Conversation) -> None:
+    conversation.send(http.response(200, conversation.id, SEALED))
+
+
+def talk(stand: Stand, *sent: bytes) -> list[Received]:
+    """What comes back for each of these on one connection."""
+
+    def call() -> list[Received]:
+        client = Client(stand)
+        received = []
+        for data in sent:
+            client.send(data)
+            received.append(client.receive())
+        return received
+
+    return stand.run(call)[0]
+
+
+def test_a_connection_is_kept_from_request_to_request(stand: Stand) -> None:
+    server = stand.serve(echo)
+    bodies = [r.body for r in talk(stand, *(asking("unsafe", f"a{n}") for n in range(5)))]
+    assert bodies == [b"a0", b"a1", b"a2", b"a3", b"a4"]
+    assert server.opened == 1
+
+
+@pytest.mark.parametrize("prefix", ["safe", "stream"])
+def test_a_connection_ends_where_the_client_wants_it(stand: Stand, prefix: str) -> None:
+    stand.serve(stream(1, 2) if prefix == "stream" else echo)
+
+    def call() -> tuple[Received, Received]:
+        client = Client(stand)
+        client.send(asking(prefix, lines=b"Connection: close\r\n"))
+        return client.receive(), client.receive()
+
+    ((answer, rest),) = stand.run(call)
+    assert answer.header(b"connection") == b"close"
+    assert (answer.status, rest.end, rest.raw) == (200, "closed", b"")
+
+
+def test_a_rejected_request_leaves_the_connection_as_it_is(stand: Stand) -> None:
+    stand.serve(echo)
+    answers = talk(stand, asking("nowhere"), asking("safe", "a2"))
+    assert [answer.status for answer in answers] == [404, 200]
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /safe/x HTTP/2.0\r\n\r\n", 505),
+        (b"GET /safe/x HTTP/1.1\r\nno field\r\n\r\n", 400),
+        (b"GET /safe/x HTTP/1.1\r\nX: " + b"x" * 20_000, 431),
+        (asking("safe").removesuffix(b"\r\n") + b"Content-Length: 9999999\r\n\r\n", 413),
+        (
+            asking("safe").removesuffix(b"\r\n") + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            400,
+        ),
+        (asking("safe").removesuffix(b"\r\n") + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\n", 400),
+        (asking("safe").removesuffix(b"\r\n") + b"Transfer-Encoding: gzip\r\n\r\n", 400),
+        (asking("safe").removesuffix(b"\r\n") + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    ],
+)
+def test_bytes_that_are_no_request_are_answered_and_the_connection_ends(stand, data, status) -> None:
+    server = stand.serve(echo)
+
+    def call() -> tuple[Received, Received]:
+        client = Client(stand)
+        client.send(data + asking("safe", "smuggled"))
+        return client.receive(), client.receive()
+
+    ((answer, rest),) = stand.run(call)
+    assert (answer.status, answer.header(b"connection")) == (status, b"close")
+    assert (rest.raw, rest.message) == (b"", None)
+    assert server.requests == []
+
+
+def test_a_body_is_waited_for_where_the_client_asks_first(stand: Stand) -> None:
+    server = stand.serve(echo)
+
+    def call() -> Received:
+        client = Client(stand)
+        client.send(
+            asking("unsafe", lines=b"Expect: 100-continue\r\n").removesuffix(b"\r\n")
+            + b"Content-Length: 4\r\n\r\n"
+        )
+        waiting = client.receive(until=b"100 Continue\r\n\r\n")
+        assert not waiting.complete
+        client.send(b"body")
+        return client.receive()
+
+    assert stand.run(call)[0].status == 200
+    assert server.requests[0].body == b"body"
+    assert server.header(b"expect") is None
+
+
+@pytest.mark.parametrize("data", [b"GET /sa", asking("safe")[:-2]])
+def test_half_a_head_is_answered_when_its_time_is_over(stand: Stand, data: bytes) -> None:
+    stand.listener.header_ns = 20 * NS_PER_MS
+    (answer,) = talk(stand, data)
+    assert (answer.status, answer.header(b"connection")) == (408, b"close")
+
+
+def test_half_a_body_is_answered_when_its_time_is_over(stand: Stand, monkeypatch) -> None:
+    monkeypatch.setattr(clients, "BODY_PAUSE_NS", 20 * NS_PER_MS)
+    (answer,) = talk(stand, asking("unsafe", body=b"body")[:-2])
+    assert answer.status == 408
+
+
+def test_an_idle_connection_ends_without_a_word(stand: Stand) -> None:
+    stand.serve(echo)
+    stand.listener.idle_ns = 20 * NS_PER_MS
+    answer, rest = talk(stand, asking("safe"), b"")
+    assert answer.status == 200
+    assert (rest.raw, rest.end) == (b"", "closed")
+
+
+def test_connections_are_bounded_and_the_next_one_waits_for_a_place(stand: Stand) -> None:
+    stand.serve(echo)
+    stand.listener.most = 2
+    order = []
+
+    def holder() -> None:
+        client = Client(stand)
+        client.send(asking("safe", "held"))
+        client.receive()
+        while not order:
+            yield_turn(stand.scheduler)
+        client.leave()
+
+    def waiter() -> Received:
+        while len(stand.listener.connections) < 2:
+            yield_turn(stand.scheduler)
+        client = Client(stand)
+        client.send(asking("safe", "waited"))
+        begun = stand.scheduler.turns
+        while stand.scheduler.turns < begun + 50:
+            yield_turn(stand.scheduler)
+            assert len(stand.listener.connections) == 2
+        order.append("released")
+        return client.receive()
+
+    _, _, answer = stand.run(holder, holder, waiter)
+    assert answer.body == b"waited"
+
+
+def test_ending_lets_answers_under_way_come_whole_and_ends_idle_connections(stand: Stand) -> None:
+    going = []
+
+    def answer(conversation: Conversation) -> None:
+        conversation.send(stream(1, 1)[: -len(http.LAST_CHUNK)])
+        while not going:
+            yield_turn(conversation.server.scheduler)
+        conversation.send(http.chunk(event(2)) + http.LAST_CHUNK)
+
+    stand.serve(echo, answer)
+    ended = []
+    stand.listener.on_empty = lambda: ended.append(True)
+
+    def call() -> tuple[Received, Received, Received]:
+        idle, busy = Client(stand), Client(stand)
+        idle.send(asking("safe", "a1"))
+        idle.receive()
+        busy.send(asking("stream", "a2"))
+        begun = busy.receive(until=event(1))
+        stand.listener.stop_accepting()
+        stand.listener.end_idle()
+        idle_end = idle.receive()
+        assert not ended
+        going.append(True)
+        rest = busy.receive()
+        return idle_end, begun, rest
+
+    ((idle_end, begun, rest),) = stand.run(call)
+    assert (idle_end.raw, idle_end.end) == (b"", "closed")
+    assert not begun.complete
+    assert (rest.complete, rest.end) == (True, "open")
+    stand.turn_until(lambda: ended)
+    assert not stand.listener.connections
+
+
+def test_a_draining_plane_says_that_the_connection_ends(stand: Stand) -> None:
+    stand.serve(echo)
+    stand.plane.draining = True
+    (answer,) = talk(stand, asking("safe"))
+    assert (answer.status, answer.header(b"connection")) == (200, b"close")
--- /dev/null
+++ b/tests/dataplane/test_control_link.py
@@ -0,0 +1,164 @@
+"""What the core's updates change in a data plane, and what it tells of its own loads."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from iristrack.dataplane import load_reports
+from iristrack.dataplane.control_link import ControlLink
+from iristrack.dataplane.discovery import ListFollower
+from iristrack.platform_api.server_list import to_message
+from iristrack.relay import topics
+from iristrack.runtime.scheduler import clock
+from iristrack.wire.messages import (
+    BusyServers,
+    ConfigurationValue,
+    Hello,
+    InstanceRevision,
+    ModelRevision,
+    ServerLoad,
+    ServerLoads,
+    Subscribe,
+    Update,
+    VersionsValue,
+)
+from iristrack.wire.values import encode_value
+from tests.controlplane.calls import Log
+from tests.controlplane.peers import Peer
+from tests.dataplane.stand import MODEL, Stand, document
+
+MS = 1_000_000
+
+
+class Linked:
+    def __init__(self, stand: Stand) -> None:
+        self.plane = stand.plane
+        self.link = ControlLink(stand.plane, ListFollower(stand.plane), Log())
+        self.core = Peer()
+
+    def update(self, topic: str, sequence: int, value) -> None:
+        self.link._on_message(self.core, Update(topic, sequence, encode_value(value)))
+
+    def configure(self, sequence: int, revision: int) -> None:
+        body = json.dumps(document(revision=revision)).encode()
+        self.update(topics.CONFIGURATION, sequence, ConfigurationValue(sequence, revision, body))
+
+    def busy(self, sequence: int, *names: str, preparing: tuple = (), taken: tuple = ()) -> None:
+        self.update(topics.BUSY_SERVERS, sequence, BusyServers(names, preparing, taken))
+
+
+@pytest.fixture
+def linked(stand: Stand) -> Linked:
+    return Linked(stand)
+
+
+def meet(linked: Linked, zone: str) -> Peer:
+    peer = Peer()
+    linked.link._on_message(peer, Hello("core", "controlplane", "p", zone, "r", "a:1"))
+    return peer
+
+
+def subscriptions(peer: Peer) -> list[Subscribe]:
+    return [message for message in peer.take() if isinstance(message, Subscribe)]
+
+
+def test_an_older_configuration_never_takes_the_place_of_a_newer_one(linked: Linked) -> None:
+    revisions = []
+    for sequence, revision in ((2, 20), (1, 10), (3, 30), (3, 31), (2, 20), (4, 40)):
+        linked.configure(sequence, revision)
+        revisions.append(linked.plane.active.configuration.revision)
+    assert revisions == [20, 20, 30, 30, 30, 40]
+
+
+def test_values_that_cannot_be_read_change_nothing(linked: Linked) -> None:
+    linked.configure(1, 10)
+    active = linked.plane.active
+    names = (
+        topics.CONFIGURATION,
+        topics.VERSIONS,
+        topics.BUSY_SERVERS,
+        topics.SERVERS,
+        topics.MEMBERS,
+        "odd",
+    )
+    for topic in names:
+        linked.link._on_message(linked.core, Update(topic, 9, b"no frame"))
+    assert linked.plane.active is active
+
+
+def test_named_weights_only_rise_and_remember_when_they_were_heard_of_first(linked: Linked) -> None:
+    linked.update(topics.VERSIONS, 1, VersionsValue(1, (ModelRevision("m", 2),)))
+    heard = linked.plane.versions["m"].learned_at
+    linked.update(topics.VERSIONS, 2, VersionsValue(2, (ModelRevision("m", 2), ModelRevision("n", 1))))
+    assert (linked.plane.versions["m"].revision, linked.plane.versions["m"].learned_at) == (2, heard)
+    linked.update(topics.VERSIONS, 3, VersionsValue(3, (ModelRevision("m", 1), ModelRevision("n", 4))))
+    assert (linked.plane.versions["m"].revision, linked.plane.versions["n"].revision) == (2, 4)
+
+
+def test_servers_that_take_weights_are_left_alone_until_told_otherwise(stand: Stand, linked: Linked) -> None:
+    stand.serve(b""), stand.serve(b"")
+    first, second = stand.known("i-0"), stand.known("i-1")
+    linked.busy(1, "i-0", preparing=("i-1",))
+    assert not first.usable(clock())
+    assert second.usable(clock())
+    assert second.preparing
+    linked.busy(2, "i-1", taken=(InstanceRevision("i-0", MODEL, 2),))
+    assert first.usable(clock())
+    assert first.revisions == {MODEL: 2}
+    assert not second.usable(clock())
+    assert not second.preparing
+    linked.busy(1, "i-0")  # late
+    assert first.usable(clock())
+
+
+def test_the_list_that_the_core_hands_on_is_followed(stand: Stand, linked: Linked) -> None:
+    stand.serve(b""), stand.serve(b"")
+    linked.update(topics.SERVERS, 1, to_message(stand.entries[1:]))
+    assert [s.instance_id for s in linked.plane.servers.of_service("pool")] == ["i-1"]
+
+
+def test_the_hub_is_a_member_of_the_zone_and_pushes(linked: Linked) -> None:
+    far = meet(linked, "elsewhere")
+    assert linked.link.hub() is far
+    assert subscriptions(far) == [Subscribe((), push=True)]
+    near = meet(linked, "zone")
+    assert linked.link.hub() is near
+    assert subscriptions(far) == [Subscribe((), push=False)]
+    assert subscriptions(near) == [Subscribe((), push=True)]
+    near.closed = True
+    other = meet(linked, "zone")
+    assert linked.link.hub() is other
+    assert subscriptions(other) == [Subscribe((), push=True)]
+
+
+# ---- loads
+
+
+def test_what_is_under_way_is_told_when_it_changes(stand: Stand, linked: Linked, monkeypatch) -> None:
+    monkeypatch.setattr(load_reports, "TELL_NS", MS)
+    hub = meet(linked, "zone")
+    hub.take()
+    stand.serve(b"")
+    server = stand.known("i-0")
+    server.began(3)
+    stand.turn_until(lambda: hub.sent)
+    assert hub.take() == [ServerLoads("n", 1, (ServerLoad("i-0", 1, 3),))]
+    server.has_read(3)
+    server.ended()
+    stand.turn_until(lambda: hub.sent)
+    assert hub.take() == [ServerLoads("n", 2, ())]
+
+
+def test_what_others_have_under_way_lapses_when_the_core_falls_silent(stand, linked, monkeypatch) -> None:
+    monkeypatch.setattr(load_reports, "TELL_NS", MS)
+    stand.serve(b"")
+    server = stand.known("i-0")
+    linked.link._on_message(linked.core, ServerLoads("core", 1, (ServerLoad("i-0", 4, 7),)))
+    assert (server.others_inflight, server.others_unread_pieces) == (4, 7)
+    linked.link._on_message(linked.core, ServerLoads("core", 2, ()))
+    assert server.load == 0
+    linked.link._on_message(linked.core, ServerLoads("core", 3, (ServerLoad("i-0", 4, 7),)))
+    monkeypatch.setattr(load_reports, "EXPIRY_NS", 5 * MS)
+    stand.turn_until(lambda: server.load == 0)
--- /dev/null
+++ b/tests/dataplane/test_request_lines.py
@@ -0,0 +1,324 @@
+"""What a server is sent: the client's request unaltered, and what the system adds or hides."""
+
+from __future__ import annotations
+
+import pytest
+
+from iristrack.http1 import messages as http
+from iristrack.placement.choice import PIECE_TOKENS
+from iristrack.placement.engines import cache_salt
+from iristrack.prefix_index.answers import KeptPart, ListAnswer
+from tests.dataplane.stand import (
+    MODEL,
+    NOT_EXECUTED,
+    SEALED,
+    Conversation,
+    Stand,
+    asking,
+    document,
+    yield_turn,
+)
+
+SOUND = http.response(200, b"sound", SEALED)
+FULL = http.response(503, b"full", NOT_EXECUTED)
+STORE = "172.20.0.2:8165"
+PROMPT = b"X-Iristrack-Model: daka510000\r\nX-Iristrack-Token-Count: 3000,90\r\n"
+PARTS = b"X-Iristrack-Prompt-Prefix: aa:1500,bb:1000,cc:500\r\n"
+TENANTS = [
+    {"label": "north", "api_keys": ["key-n", "key-o"], "priority": 1},
+    {"label": "south", "api_keys": ["key-s"], "isolated": True},
+]
+
+
+def key_line(key: str) -> bytes:
+    return b"Authorization: Bearer %b\r\n" % key.encode()
+
+
+def salt(revision: int, isolated_tenant: str | None = None) -> bytes:
+    return cache_salt(MODEL, revision, isolated_tenant).encode()
+
+
+def keep(stand: Stand, holder: str, salt: str, *parts: tuple[str, int]) -> None:
+    owned = tuple(KeptPart(salt, part_id, tokens, MODEL) for part_id, tokens in parts)
+    stand.plane.index.apply_list(holder, ListAnswer(1, 1, owned), 1)
+
+
+def test_method_path_body_and_other_lines_are_unaltered(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    lines = b"X-Odd:  a  b \r\nX-odd: twice\r\nAccept: */*\r\n"
+    request = http.request(
+        b"PATCH", b"/unsafe/a%20b?q=1&q=%2F", b"Host: H.example:80\r\nX-Iristrack-Attempt-Id: a1\r\n" + lines,
+        b"\x00body\xff",
+    )  # fmt: skip
+    assert stand.ask(request).status == 200
+    (message,) = server.requests
+    assert (message.head.method, message.head.target) == (b"PATCH", b"/unsafe/a%20b?q=1&q=%2F")
+    assert message.body == b"\x00body\xff"
+    assert lines in message.head.raw
+    assert message.head.fields[b"host"] == b"H.example:80"
+    assert message.head.fields[b"x-iristrack-attempt-id"] == b"a1"
+
+
+def test_a_body_in_chunks_arrives_whole(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    head, _, _ = asking("unsafe").replace(b"GET", b"POST").partition(b"Content-Length")
+    body = http.chunk(b"one ") + http.chunk(b"two") + http.LAST_CHUNK
+    request = head.removesuffix(b"\r\n") + b"Transfer-Encoding: chunked\r\n\r\n" + body
+    assert stand.ask(request).status == 200
+    assert server.requests[0].body == b"one two"
+
+
+def test_lines_of_the_clients_connection_stay_there(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    lines = b"Connection: close, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=9\r\nTE: trailers\r\n"
+    stand.ask(asking("safe", lines=lines))
+    assert {b"connection", b"x-hop", b"keep-alive", b"te"}.isdisjoint(server.requests[0].head.fields)
+
+
+def test_what_the_system_says_replaces_what_a_client_says(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    forged = (
+        b"X-Iristrack-Tenant: forged\r\nX-Iristrack-Expect-Instance: i-9\r\nExpect-Version: 9\r\nCache-Salt: x\r\n"
+        b"Kv-Fetch: 9.9.9.9:9\r\nKv-Save: 9.9.9.9:9\r\nPriority: 0\r\nLast-Event-Id: nine\r\n"
+    )
+    assert stand.ask(asking("safe", lines=forged)).status == 200
+    fields = server.requests[0].head.fields
+    hidden = (
+        b"x-iristrack-tenant",
+        b"expect-version",
+        b"cache-salt",
+        b"kv-fetch",
+        b"kv-save",
+        b"last-event-id",
+    )
+    assert not any(name in fields for name in hidden)
+    assert fields[b"x-iristrack-expect-instance"] == b"i-0"
+    assert fields[b"priority"] == b"4"
+    assert server.requests[0].head.repeated == frozenset()
+
+
+# ---- tenants
+
+
+def test_the_key_is_hidden_and_its_tenant_set(stand: Stand) -> None:
+    stand.configure(document(tenants=TENANTS))
+    server = stand.serve(SOUND)
+    for key, tenant, priority in (("key-o", b"north", b"1"), ("key-s", b"south", b"4")):
+        lines = key_line(key) + b"X-Iristrack-Tenant: other\r\n"
+        assert stand.ask(asking("safe", lines=lines)).status == 200
+        assert b"authorization" not in server.requests[-1].head.fields
+        assert key.encode() not in server.requests[-1].head.raw
+        assert server.header(b"x-iristrack-tenant") == tenant
+        assert server.header(b"priority") == priority
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"",
+        key_line("unknown"),
+        b"Authorization: Basic key-n\r\n",
+        b"Authorization: Bearer\r\n",
+        key_line("key-n") * 2,
+    ],
+)
+def test_without_a_known_key_no_server_is_asked(stand: Stand, lines: bytes) -> None:
+    stand.configure(document(tenants=TENANTS))
+    server = stand.serve(SOUND)
+    assert stand.ask(asking("safe", lines=lines)).status == (400 if lines.count(b"key-n") == 2 else 401)
+    assert server.requests == []
+
+
+@pytest.mark.parametrize(
+    ("lines", "tenant"), [(b"", None), (key_line("x"), None), (key_line("key-n"), b"north")]
+)
+def test_a_public_route_needs_no_key_and_shows_none(stand: Stand, lines: bytes, tenant: bytes | None) -> None:
+    stand.configure(document(tenants=TENANTS))
+    server = stand.serve(SOUND)
+    assert stand.ask(asking("public", lines=lines)).status == 200
+    assert server.header(b"authorization") is None
+    assert server.header(b"x-iristrack-tenant") == tenant
+
+
+def test_without_tenants_authorization_is_the_servers(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    stand.ask(asking("safe", lines=key_line("key-n") + b"X-Iristrack-Tenant: forged\r\n"))
+    assert server.header(b"authorization") == b"Bearer key-n"
+    assert server.header(b"x-iristrack-tenant") is None
+
+
+def test_a_key_that_was_taken_away_ends_with_the_configuration(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    stand.configure(document(tenants=TENANTS))
+    assert stand.ask(asking("safe", lines=key_line("key-o"))).status == 200
+    stand.configure(document(tenants=[TENANTS[0] | {"api_keys": ["key-n"]}, TENANTS[1]]))
+    assert stand.ask(asking("safe", lines=key_line("key-o"))).status == 401
+    assert len(server.requests) == 1
+
+
+def test_tenants_are_told_apart_whatever_their_labels_are_written_in(stand: Stand) -> None:
+    labels = ["日", "月", "?"]
+    stand.configure(
+        document(
+            tenants=[
+                {"label": label, "api_keys": [f"key-{number}"], "isolated": True}
+                for number, label in enumerate(labels)
+            ]
+        )
+    )
+    server = stand.serve(SOUND)
+    for number in range(len(labels)):
+        stand.ask(asking("safe", lines=PROMPT + PARTS + key_line(f"key-{number}")))
+    fields = [message.head.fields for message in server.requests]
+    for name in (b"x-iristrack-tenant", b"cache-salt"):
+        assert len({found[name] for found in fields}) == len(labels)
+
+
+def test_a_label_never_becomes_a_line_of_its_own(stand: Stand) -> None:
+    label = "a\r\nX-Forged: b"
+    stand.configure(document(tenants=[{"label": label, "api_keys": ["key"], "isolated": True}]))
+    server = stand.serve(SOUND)
+    stand.ask(asking("safe", lines=PROMPT + PARTS + key_line("key")))
+    assert all(b"x-forged" not in message.head.fields for message in server.requests)
+
+
+# ---- time, instance, priority
+
+
+def test_the_time_left_shrinks_from_one_server_to_the_next(stand: Stand) -> None:
+    def late(conversation: Conversation) -> None:
+        begun = conversation.server.scheduler.turns
+        while conversation.server.scheduler.turns < begun + 300:
+            yield_turn(conversation.server.scheduler)
+        conversation.send(FULL)
+
+    first, second = stand.serve(late), stand.serve(SOUND)
+    stand.ask(asking("unsafe"))
+    told = [int(server.header(b"x-iristrack-time-left-ms")) for server in (first, second)]
+    assert 0 < told[1] < told[0] <= 9000
+
+
+def test_the_routes_timeout_bounds_the_time_left(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    stand.ask(asking("short"))
+    assert 0 < int(server.header(b"x-iristrack-time-left-ms")) <= 250
+
+
+def test_each_server_is_named_as_the_one_that_is_meant(stand: Stand) -> None:
+    servers = [stand.serve(FULL), stand.serve(SOUND)]
+    stand.ask(asking("unsafe"))
+    assert [server.header(b"x-iristrack-expect-instance") for server in servers] == [b"i-0", b"i-1"]
+
+
+@pytest.mark.parametrize(("priority", "told"), [(0, b"0"), (9, b"9"), (40, b"9"), (-3, b"0")])
+def test_the_priority_keeps_within_its_bounds(stand: Stand, priority: int, told: bytes) -> None:
+    stand.configure(document(tenants=[TENANTS[0] | {"priority": priority}]))
+    server = stand.serve(SOUND)
+    stand.ask(asking("safe", lines=key_line("key-n")))
+    assert server.header(b"priority") == told
+
+
+# ---- kept prompts
+
+
+def test_salt_and_version_are_those_of_the_server_that_is_sent_to(stand: Stand) -> None:
+    first, second = stand.serve(FULL, revision=3), stand.serve(SOUND, revision=4)
+    stand.ask(asking("safe", lines=PROMPT + PARTS))
+    assert (first.header(b"expect-version"), first.header(b"cache-salt")) == (b"3", salt(3))
+    assert (second.header(b"expect-version"), second.header(b"cache-salt")) == (b"4", salt(4))
+
+
+def test_an_isolated_tenant_has_a_salt_of_its_own(stand: Stand) -> None:
+    stand.configure(document(tenants=TENANTS))
+    server = stand.serve(SOUND)
+    salts = []
+    for key in ("key-n", "key-s"):
+        stand.ask(asking("safe", lines=PROMPT + PARTS + key_line(key)))
+        salts.append(server.header(b"cache-salt"))
+    assert salts == [salt(1), salt(1, "south")]
+
+
+def test_a_prompt_without_a_model_is_told_nothing_of_kept_parts(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    stand.ask(asking("safe", lines=PARTS))
+    assert {b"cache-salt", b"expect-version", b"kv-fetch", b"kv-save"}.isdisjoint(
+        server.requests[0].head.fields
+    )
+
+
+def test_parts_are_fetched_from_whoever_keeps_the_most(stand: Stand) -> None:
+    server, other = stand.serve(SOUND), stand.serve(SOUND)
+    keep(stand, other.address, cache_salt(MODEL, 1, None), ("aa", 1500), ("bb", 1000))
+    stand.known("i-1").inflight = 60  # too busy to be sent to
+    stand.ask(asking("safe", lines=PROMPT + PARTS))
+    assert server.header(b"kv-fetch") == other.address.encode()
+    assert server.header(b"kv-save") == STORE.encode()
+
+
+def test_parts_are_not_fetched_where_the_server_keeps_as_much(stand: Stand) -> None:
+    server, other = stand.serve(SOUND), stand.serve(SOUND)
+    keep(stand, other.address, cache_salt(MODEL, 1, None), ("aa", 1500), ("bb", 30))
+    keep(stand, server.address, cache_salt(MODEL, 1, None), ("aa", 1500))
+    stand.ask(asking("safe", lines=PROMPT + PARTS))
+    assert server.header(b"kv-fetch") is None
+
+
+@pytest.mark.parametrize("maker", [(MODEL, 2, None), (MODEL, 1, "south"), ("other", 1, None)])
+def test_parts_of_other_weights_or_behind_a_wall_are_not_fetched(stand: Stand, maker: tuple) -> None:
+    server, other = stand.serve(SOUND), stand.serve(SOUND)
+    keep(stand, other.address, cache_salt(*maker), ("aa", 1500), ("bb", 1000))
+    keep(stand, STORE, cache_salt(*maker), ("aa", 1500), ("bb", 1000))
+    stand.ask(asking("safe", lines=PROMPT + PARTS))
+    assert server.header(b"kv-fetch") is None
+
+
+def test_what_the_store_keeps_already_is_fetched_there_and_not_saved_again(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    keep(stand, STORE, cache_salt(MODEL, 1, None), ("aa", 1500), ("bb", 1000))
+    stand.ask(asking("safe", lines=PROMPT + PARTS))
+    assert server.header(b"kv-fetch") == STORE.encode()
+    assert server.header(b"kv-save") is None
+
+
+def test_a_prompt_of_one_part_of_its_own_is_neither_fetched_nor_saved(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    stand.ask(asking("safe", lines=PROMPT + b"X-Iristrack-Prompt-Prefix: aa:1500\r\n"))
+    assert server.header(b"cache-salt") == salt(1)
+    assert server.header(b"kv-fetch") is None
+    assert server.header(b"kv-save") is None
+
+
+# ---- weights
+
+
+def test_servers_without_the_model_are_not_asked(stand: Stand) -> None:
+    server = stand.serve(SOUND)
+    assert stand.ask(asking("safe", lines=b"X-Iristrack-Model: other\r\n")).status == 503
+    assert server.requests == []
+
+
+def test_the_version_that_an_answer_tells_counts_at_once(stand: Stand) -> None:
+    server = stand.serve(http.response(200, b"x", SEALED + b"Versions: 6\r\n"))
+    for _ in range(2):
+        stand.ask(asking("safe", lines=PROMPT + PARTS))
+    assert [server.header(b"expect-version", number) for number in (0, 1)] == [b"1", b"6"]
+
+
+def test_a_server_whose_weights_were_not_those_expected_tells_which_it_has(stand: Stand) -> None:
+    stand.serve(http.response(421, b"", b"Versions: 5\r\n"))
+    stand.serve(SOUND)
+    assert stand.ask(asking("unsafe", lines=PROMPT)).status == 200
+    assert stand.known("i-0").revisions == {MODEL: 5}
+
+
+def test_a_long_prompt_counts_in_pieces_until_the_first_token(stand: Stand) -> None:
+    seen = []
+
+    def answer(conversation: Conversation) -> None:
+        server = stand.known("i-0")
+        seen.append((server.inflight, server.unread_pieces))
+        conversation.send(SOUND)
+
+    stand.serve(answer)
+    stand.ask(asking("safe", lines=PROMPT))
+    assert seen == [(1, -(-3000 // PIECE_TOKENS))]
--- /dev/null
+++ b/tests/engines/test_roll.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from iristrack.engines.roll import AT_ONCE_SHARE, PREPARE_NS, Roll, Upgrade, wanted_upgrades
+from iristrack.placement.servers import ListedServer
+
+STEP_NS = 100_000_000
+SERVERS = 5  # of which two may take weights at once
+
+
+def upgrade(name: str, revision: int = 2, model: str = "m") -> Upgrade:
+    return Upgrade(name, f"{name}:80", model, revision)
+
+
+def upgrades(count: int) -> list[Upgrade]:
+    return [upgrade(f"i-{number:02}") for number in range(count)]
+
+
+def listed(name: str, ready: bool = True, **models: int) -> ListedServer:
+    return ListedServer(name, "pool", f"{name}:80", "zone", ready, 8, tuple(models.items()))
+
+
+def test_wanted_is_what_ready_servers_lack() -> None:
+    servers = [
+        listed("i-1", m=1), listed("i-2", m=2), listed("i-3", m=3), listed("i-4", ready=False, m=1),
+        listed("i-5", other=1), listed("i-6", m=1, n=1),
+    ]  # fmt: skip
+    assert wanted_upgrades(servers, {"m": 2, "n": 5}) == [
+        upgrade("i-1"), upgrade("i-6"), upgrade("i-6", 5, "n"),
+    ]  # fmt: skip
+    assert wanted_upgrades(servers, {}) == []
+
+
+@pytest.mark.parametrize(("servers", "at_once"), [(1, 1), (2, 1), (3, 1), (5, 2), (9, 3), (100, 40)])
+def test_most_servers_go_on_serving(servers: int, at_once: int) -> None:
+    roll, now = Roll(), 0
+    wanted = upgrades(servers)
+    for _ in range(5):
+        roll.next_orders(wanted, servers, now)
+        now += PREPARE_NS
+    assert len(roll.ordered) == at_once <= max(1, servers * AT_ONCE_SHARE)
+
+
+def test_a_server_is_prepared_before_it_is_ordered() -> None:
+    roll = Roll()
+    wanted = upgrades(5)
+    assert roll.next_orders(wanted, SERVERS, 0) == []
+    assert list(roll.preparing) == ["i-00", "i-01"]
+    assert roll.next_orders(wanted, SERVERS, PREPARE_NS - 1) == []
+    assert roll.next_orders(wanted, SERVERS, PREPARE_NS) == wanted[:2]
+    assert list(roll.ordered) == ["i-00", "i-01"]
+    assert list(roll.preparing) == ["i-02", "i-03"]
+
+
+def test_a_prepared_server_waits_for_a_place() -> None:
+    roll = Roll()
+    wanted = upgrades(4)
+    roll.next_orders(wanted, SERVERS, 0)
+    roll.next_orders(wanted, SERVERS, PREPARE_NS)
+    assert roll.next_orders(wanted, SERVERS, 9 * PREPARE_NS) == []
+    roll.ended("i-00")
+    assert roll.next_orders(wanted[1:], SERVERS, 9 * PREPARE_NS) == [wanted[2]]
+    assert set(roll.ordered) == {"i-01", "i-02"}
+
+
+def test_what_is_no_longer_wanted_is_not_ordered() -> None:
+    roll = Roll()
+    roll.next_orders(upgrades(3), SERVERS, 0)
+    assert roll.next_orders([upgrade("i-02")], SERVERS, PREPARE_NS) == []
+    assert list(roll.preparing) == ["i-02"]
+    assert roll.next_orders([upgrade("i-02", 7)], SERVERS, 2 * PREPARE_NS) == [upgrade("i-02", 7)]
+
+
+def test_an_upgrade_that_was_given_up_is_begun_anew() -> None:
+    roll = Roll()
+    roll.next_orders(upgrades(1), SERVERS, 0)
+    assert roll.next_orders(upgrades(1), SERVERS, PREPARE_NS) == upgrades(1)
+    assert roll.next_orders(upgrades(1), SERVERS, 5 * PREPARE_NS) == []
+    roll.ended("i-00")
+    roll.ended("i-00")
+    assert roll.next_orders(upgrades(1), SERVERS, 5 * PREPARE_NS) == []
+    assert roll.next_orders(upgrades(1), SERVERS, 6 * PREPARE_NS) == upgrades(1)
+
+
+def test_a_server_takes_one_model_at_a_time() -> None:
+    roll = Roll()
+    wanted = [upgrade("i-00"), upgrade("i-00", 5, "n")]
+    roll.next_orders(wanted, SERVERS, 0)
+    assert roll.next_orders(wanted, SERVERS, PREPARE_NS) == wanted[:1]
+    assert roll.next_orders(wanted[1:], SERVERS, 9 * PREPARE_NS) == []
+    roll.ended("i-00")
+    roll.next_orders(wanted[1:], SERVERS, 9 * PREPARE_NS)
+    assert roll.next_orders(wanted[1:], SERVERS, 10 * PREPARE_NS) == wanted[1:]
+
+
+@settings(max_examples=60)
+@given(
+    st.integers(0, 14),
+    st.integers(0, 30),
+    st.integers(0, 2**32),
+    st.sampled_from([0.0, 0.3]),
+    st.sets(st.integers(0, 13), max_size=3),
+)
+def test_few_at_once_each_prepared_and_all_in_the_end(count, more, seed, failures, never_done) -> None:
+    """Upgrades last at random, some fail and are wanted again, a few servers never take theirs."""
+    rng = random.Random(seed)
+    roll, now = Roll(), 0
+    servers = count + more
+    at_once = max(1, int(servers * AT_ONCE_SHARE))
+    wanted = {u.instance_id: u for u in upgrades(count)}
+    stubborn = {f"i-{number:02}" for number in never_done}
+    ending: dict[str, int] = {}
+    prepared_at: dict[str, int] = {}
+    seen: set[str] = set()
+    for _ in range(3_000):
+        now += STEP_NS
+        for name in [name for name, at in ending.items() if at <= now]:
+            del ending[name]
+            roll.ended(name)
+            if name not in stubborn and rng.random() >= failures:
+                del wanted[name]
+        listed_so = list(wanted.values())
+        rng.shuffle(listed_so)
+        before = dict(roll.preparing)
+        orders = roll.next_orders(listed_so, servers, now)
+        for order in orders:
+            assert now - prepared_at[order.instance_id] >= PREPARE_NS
+            assert order.instance_id in before
+            ending[order.instance_id] = now + rng.randrange(0, 3 * 10**9)
+            seen.add(order.instance_id)
+        prepared_at = {name: prepared_at.get(name, now) for name in roll.preparing}
+        assert set(roll.ordered) == set(ending)
+        assert len(roll.ordered) <= at_once
+        assert len(roll.preparing) <= at_once
+        assert not set(roll.ordered) & set(roll.preparing)
+        if not set(wanted) - stubborn and len(seen) == count:
+            break
+    assert set(wanted) <= stubborn
+    assert len(seen) == count
--- a/tests/placement/test_ranking.py
+++ b/tests/placement/test_ranking.py
@@ -40,3 +40,9 @@
     assert len(ranked(servers(1), None, random.Random(0), 2)) == 1
     assert len(ranked(servers(1), "key", random.Random(0), 2)) == 1
     assert len(set(ranked(servers(5), None, random.Random(0), 2))) == 2
+
+
+def test_all_processes_rank_alike() -> None:
+    """Written down once: a ranking that differs from process to process would scatter each key over the servers."""
+    ranking = ranked(servers(6), "5c1e07a2", random.Random(0), 6)
+    assert [server.instance_id for server in ranking] == ["i-2", "i-5", "i-0", "i-4", "i-1", "i-3"]
