Mend what whole programs showed: limits from the first request on, unknown roles, servers that take no order

Cause, each by a test of whole programs that failed first: a configuration's limits did not hold for the first request of a connection, max_header_bytes never; a request that cannot be read left its connection open; a process of another role started; one server that refuses orders held up the roll of all others; the retry budget was shared by twelve whatever the number of sidecars.

--- a/iristrack/admission/retry_budget.py
+++ b/iristrack/admission/retry_budget.py
@@ -1,7 +1,8 @@
 """The share of the fleet's retry budget that one sidecar may spend.
 
 All sidecars together may send a service `ratio` x its requests + `slack` repeats in each sliding window. A bucket that
-holds `slack` / sidecars and earns `ratio` with each request keeps every window of this sidecar within its share.
+holds `slack` / sidecars and earns `ratio` with each request keeps every window of this sidecar within its share. Where
+that is less than one repeat, none is ever sent.
 """
 
 from __future__ import annotations
@@ -17,13 +18,13 @@
         self.ratio = ratio * SAFETY
         self.slack = slack * SAFETY
         self.most = 0.0
+        self.tokens = slack * SAFETY / max(1, sidecars)
         self.share(sidecars)
-        self.tokens = self.most
 
     def share(self, sidecars: int) -> None:
         """Follow the number of sidecars that spend."""
         self.most = self.slack / max(1, sidecars)
-        self.tokens = min(getattr(self, "tokens", self.most), self.most)
+        self.tokens = min(self.tokens, self.most)
 
     def earn(self) -> None:
         """A request was sent for the first time."""
--- a/iristrack/cli/controlplane.py
+++ b/iristrack/cli/controlplane.py
@@ -25,7 +25,7 @@
     )
     parser.parse_args(arguments)
     signals = catch_signals()
-    settings = settings_or_exit()
+    settings = settings_or_exit("controlplane")
     log = configure_log(settings)
     if settings.data_dir is None:
         print("iristrack: data_dir: the control plane needs a disk", file=sys.stderr)
--- a/iristrack/cli/dataplane.py
+++ b/iristrack/cli/dataplane.py
@@ -18,7 +18,7 @@
     )
     parser.parse_args(arguments)
     signals = catch_signals()
-    settings = settings_or_exit()
+    settings = settings_or_exit("dataplane")
     log = configure_log(settings)
     raise_descriptor_limit(settings.limits.max_fds)
     program = DataPlane(settings, log, lambda: reload_settings(log))
--- a/iristrack/cli/settings_file.py
+++ b/iristrack/cli/settings_file.py
@@ -41,14 +41,20 @@
     return structlog.get_logger().bind(node=settings.node_name)
 
 
-def settings_or_exit() -> Settings:
-    """The settings that the environment names; one line for all findings and exit code 2 where they cannot be used."""
+def settings_or_exit(role: str) -> Settings:
+    """The settings that the environment names, for this role of the deploy file.
+
+    One line for all findings and exit code 2 where they cannot be used.
+    """
     path = os.environ.get(SETTINGS_VARIABLE, "")
     result = load_settings(path)
     if result.is_error():
         told = "; ".join(f"{finding.place}: {finding.problem}" for finding in result.error)
         print(f"iristrack: {told}", file=sys.stderr)
         raise SystemExit(EXIT_BAD_SETTINGS)
+    if result.ok.role != role:
+        print(f"iristrack: role: {result.ok.role!r} is not run by this program, {role!r} is", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS)
     return result.ok
 
 
--- a/iristrack/controlplane/load_hub.py
+++ b/iristrack/controlplane/load_hub.py
@@ -48,7 +48,7 @@
         if self._own_changed:
             self._count += 1
             total = tuple(self.own.total().values())
-            self.tell_members(ServerLoads(self.node, self._count, total))
+            self.tell_members(ServerLoads(self.node, self._count, total, self.own.sidecars()))
         if self._own_changed or self._changed:
             self._tell_sidecars()
         self._own_changed = self._changed = False
@@ -56,7 +56,8 @@
 
     def _tell_sidecars(self) -> None:
         elsewhere = ServerLoads("", 0, tuple(self.members.total().values()))
+        sidecars = self.own.sidecars() + self.members.sidecars()
         for connection, node in self._reporters.items():
             here = ServerLoads("", 0, tuple(self.own.total(without=node).values()))
             total = tuple(sum_loads((here, elsewhere)).values())
-            connection.send(ServerLoads(self.node, self._count, total))
+            connection.send(ServerLoads(self.node, self._count, total, sidecars))
--- a/iristrack/controlplane/weights.py
+++ b/iristrack/controlplane/weights.py
@@ -29,6 +29,7 @@
 CALL_NS = 700 * NS_PER_MS
 REPORT_NS = 200 * NS_PER_MS
 GIVE_UP_NS = 12_000 * NS_PER_MS  # an upgrade that takes longer is begun anew
+NO_ORDER_NS = 1500 * NS_PER_MS  # a server that takes no order for so long lets the others go first
 FENCE_SHIFT = 24  # the sequence of a holder's updates: its fence, then a counter
 METHOD = "wait"
 
@@ -72,8 +73,8 @@
     def _run(self) -> None:
         while True:
             self.scheduler.sleep(TICK_NS)
-            if not any(revision > 1 for revision in self.named().values()):
-                continue
+            if not (self._wanted() or self.roll.under_way):
+                continue  # nobody has to hold the duty
             if self.lease.seen is None:
                 self.lease.saw(None, clock())
             if self.lease.wants_claim(clock()):
@@ -99,12 +100,14 @@
 
     def _work(self) -> None:
         now = clock()
-        wanted = [u for u in wanted_upgrades(self.servers, self.named()) if not self._is_done(u)]
-        orders = self.roll.next_orders(wanted, sum(bool(s.models) for s in self.servers), now)
+        orders = self.roll.next_orders(self._wanted(), sum(bool(s.models) for s in self.servers), now)
         self._tell_busy()
         for upgrade in orders:
             self.scheduler.spawn("upgrade", self._upgrade, upgrade)
 
+    def _wanted(self) -> list[Upgrade]:
+        return [u for u in wanted_upgrades(self.servers, self.named()) if not self._is_done(u)]
+
     def _take_list(self, value: bytes) -> None:
         told = decode_value(value, ServersValue)
         if told is None:
@@ -120,22 +123,26 @@
         """Order one server to take the weights and wait until it holds them."""
         caller = Caller(self.scheduler, parse_address(upgrade.address))
         began = clock()
-        ordered = False
+        ordered = taken = False
         try:
-            while clock() - began < GIVE_UP_NS:
+            while clock() - began < (GIVE_UP_NS if ordered else NO_ORDER_NS):
                 report = self._report(caller)
                 if report is not None and report.revisions.get(upgrade.model, 0) >= upgrade.revision:
+                    taken = True
                     self._done[upgrade.instance_id, upgrade.model] = upgrade.revision
                     self.log.info(
                         "weights taken", server=upgrade.instance_id, ms=(clock() - began) // NS_PER_MS
                     )
                     return
-                if report is not None and not report.busy and not ordered:
-                    ordered = self._order(caller, upgrade, report)
+                if report is not None and not ordered:
+                    ordered = report.busy or self._order(caller, upgrade, report)
                 self.scheduler.sleep(REPORT_NS)
         finally:
             caller.close()
-            self.roll.ended(upgrade.instance_id)
+            if taken:
+                self.roll.ended(upgrade.instance_id)
+            else:
+                self.roll.given_up(upgrade.instance_id, clock())
             self._tell_busy()
 
     def _report(self, caller: Caller) -> Report | None:
--- a/iristrack/dataplane/clients.py
+++ b/iristrack/dataplane/clients.py
@@ -128,6 +128,7 @@
         self.exchange = exchange
         self.most = most
         self.most_body = 4 << 20
+        self.most_head = http.MAX_HEAD
         self.header_ns = 3 * NS_PER_S
         self.idle_ns = 15 * NS_PER_S
         self.connections: set[ClientConnection] = set()
@@ -219,6 +220,8 @@
     def _read(self, client: ClientConnection) -> http.Message | None:
         """The next request; None where the connection is over."""
         reader = client.reader
+        if reader.head is None:
+            reader.bound(self.most_body, self.most_head)
         message = None if reader.empty else client.read(b"")
         began = None if reader.empty else clock()
         idle_until = clock() + self.idle_ns
@@ -243,6 +246,7 @@
                 return None
             if began is None:
                 began = clock()
+                reader.bound(self.most_body, self.most_head)  # a configuration may have come meanwhile
             message = client.read(data)
         return message
 
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -46,6 +46,7 @@
         self.heartbeats = 0
         self.zones: dict[PeerConnection, str] = {}  # of the core members at the other ends
         self._hub: PeerConnection | None = None
+        self.on_configuration: Callable[[], None] = lambda: None
         self.loads = LoadReporter(plane, self)
         self._busy: set[str] = set()
         self._handlers: dict[str, Callable[[bytes], None]] = {
@@ -120,6 +121,7 @@
             return
         active = ActiveConfiguration(parse_configuration(told.body))
         self.plane.active = active
+        self.on_configuration()
         self.log.info("configuration in force", revision=told.revision, sequence=told.sequence)
 
     def _on_versions(self, value: bytes) -> None:
--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -399,6 +399,7 @@
     try:
         request = read_request(plane.active, message, arrived)
     except Rejected as rejection:
+        keep = keep and rejection.status != 400  # what cannot be read may be followed by anything
         client.write(http.response(rejection.status, rejection.reason.encode() + b"\n", b"", close=not keep))
         return keep
     Exchange(plane, client, request, keep).run()
--- a/iristrack/dataplane/load_reports.py
+++ b/iristrack/dataplane/load_reports.py
@@ -41,6 +41,7 @@
         """The sum of what the other sidecars have under way."""
         self._heard_at = clock()
         self._take({load.instance: load for load in message.loads})
+        self.plane.follow_sidecars(message.sidecars)
 
     def _take(self, told: dict[str, ServerLoad]) -> None:
         for server in self.plane.servers.servers.values():
@@ -57,7 +58,7 @@
             self._take({})
         loads = tuple(self._own_loads(now))
         self.plane.servers.judge(now)
-        if loads != self._told or (loads and now - self._told_at > REPEAT_NS):
+        if loads != self._told or now - self._told_at > REPEAT_NS:
             self._tell(loads, now)
         self.plane.scheduler.call_at(now + TELL_NS, self._tick)
 
--- a/iristrack/dataplane/program.py
+++ b/iristrack/dataplane/program.py
@@ -60,6 +60,7 @@
         )
         self.plane.links.start()
         self.control = ControlLink(self.plane, ListFollower(self.plane), self.log)
+        self.control.on_configuration = self._follow_limits
         self.scheduler.call_at(clock() + REPORT_NS, self._report)
 
     def run(self, signals: socket.socket) -> None:
@@ -72,7 +73,6 @@
     # ---- requests
 
     def _exchange(self, client, message: http.Message, arrived: int) -> bool:
-        self._follow_limits()
         return answer_request(self.plane, client, message, arrived)
 
     def _follow_limits(self) -> None:
@@ -80,6 +80,7 @@
         if active is not None:
             limits = active.configuration.limits
             self.listener.most_body = limits.max_body_bytes
+            self.listener.most_head = limits.max_header_bytes
             self.listener.header_ns = int(limits.header_timeout_ms * NS_PER_MS)
             self.listener.idle_ns = int(limits.idle_timeout_ms * NS_PER_MS)
 
--- a/iristrack/dataplane/state.py
+++ b/iristrack/dataplane/state.py
@@ -71,6 +71,12 @@
     sidecars: int = SIDECARS_ASSUMED
     draining: bool = False
 
+    def follow_sidecars(self, count: int) -> None:
+        """So many data planes share the retry budgets."""
+        self.sidecars = max(1, count)
+        for budget in self.budgets.values():
+            budget.share(self.sidecars)
+
     def budget(self, service: str) -> RetryBudget:
         """The retry budget of a service."""
         budget = self.budgets.get(service)
--- a/iristrack/duties/lease.py
+++ b/iristrack/duties/lease.py
@@ -12,9 +12,9 @@
 from iristrack.wire.messages import DutyValue
 
 NS_PER_MS = 1_000_000
-ACT_NS = 1200 * NS_PER_MS  # a renewal is good for so long
+ACT_NS = 800 * NS_PER_MS  # a renewal is good for so long
 CLAIM_MARGIN_NS = 200 * NS_PER_MS  # for clocks that do not run alike
-RENEW_NS = 400 * NS_PER_MS  # between two renewals
+RENEW_NS = 250 * NS_PER_MS  # between two renewals
 
 
 @dataclass(frozen=True, slots=True)
--- a/iristrack/engines/roll.py
+++ b/iristrack/engines/roll.py
@@ -13,6 +13,7 @@
 
 AT_ONCE_SHARE = 0.4  # of the servers; more would make each load last longer, and leave too few to serve
 PREPARE_NS = 1_200_000_000
+REST_NS = 3_000_000_000  # a server that took no order is left alone for so long
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,13 +44,20 @@
         """Nothing is wanted."""
         self.preparing: dict[str, int] = {}  # instance: since when (ns)
         self.ordered: dict[str, Upgrade] = {}
+        self._rests_until: dict[str, int] = {}  # instances whose upgrade was given up (ns)
+
+    @property
+    def under_way(self) -> bool:
+        """Is any server prepared or ordered?"""
+        return bool(self.preparing or self.ordered)
 
     def next_orders(self, wanted: Iterable[Upgrade], servers: int, now: int) -> list[Upgrade]:
         """The upgrades to order now, of so many servers in all; they count as ordered until `ended`."""
         at_once = max(1, int(servers * AT_ONCE_SHARE))
         waiting: dict[str, Upgrade] = {}
+        self._rests_until = {name: until for name, until in self._rests_until.items() if until > now}
         for upgrade in sorted(wanted, key=lambda upgrade: upgrade.instance_id):
-            if upgrade.instance_id not in self.ordered:
+            if upgrade.instance_id not in self.ordered and upgrade.instance_id not in self._rests_until:
                 waiting.setdefault(upgrade.instance_id, upgrade)
         self.preparing = {name: since for name, since in self.preparing.items() if name in waiting}
         ready = [name for name, since in self.preparing.items() if now - since >= PREPARE_NS]
@@ -67,3 +75,8 @@
     def ended(self, instance_id: str) -> None:
         """The upgrade is done, or was given up."""
         self.ordered.pop(instance_id, None)
+
+    def given_up(self, instance_id: str, now: int) -> None:
+        """It does not take the order now: the others come first, then it is tried again."""
+        self.ended(instance_id)
+        self._rests_until[instance_id] = now + REST_NS
--- a/iristrack/http1/messages.py
+++ b/iristrack/http1/messages.py
@@ -164,8 +164,8 @@
     """
 
     __slots__ = (
-        "_at", "_body", "_buffer", "_interim", "_left", "_limit", "_response", "_state", "_streamed", "_whole",
-        "done", "head", "received",
+        "_at", "_body", "_buffer", "_interim", "_left", "_limit", "_most_head", "_response", "_state", "_streamed",
+        "_whole", "done", "head", "received",
     )  # fmt: skip
 
     def __init__(self, response: bool = False, limit: int = MAX_BODY, whole: int = MAX_BODY) -> None:
@@ -175,8 +175,14 @@
         self._whole = whole
         self._buffer = bytearray()
         self._interim = 0
+        self._most_head = MAX_HEAD
         self._reset()
 
+    def bound(self, limit: int, most_head: int) -> None:
+        """Bound the next message: its body and its head, in bytes; a body under way keeps its own bound."""
+        self._limit = self._whole = limit
+        self._most_head = most_head
+
     def _reset(self) -> None:
         self.head: Head | None = None  # of the message whose body is still to come
         self.done = False  # has all of the body come?
@@ -255,8 +261,8 @@
         while not self._response and buffer[:2] == b"\r\n":  # an empty line before a request is allowed
             del buffer[:2]
         end = buffer.find(b"\r\n\r\n", max(0, self._at - 3))
-        if end < 0 or end > MAX_HEAD:
-            if len(buffer) > MAX_HEAD:
+        if end < 0 or end > self._most_head:
+            if len(buffer) > self._most_head:
                 raise Malformed(431, "the header is too large")
             self._at = len(buffer)
             return False
--- a/iristrack/http1/serving.py
+++ b/iristrack/http1/serving.py
@@ -14,6 +14,7 @@
 IDLE_NS = 20 * NS_PER_S
 REQUEST_NS = 10 * NS_PER_S  # a request must be whole so long after its first byte
 WRITE_NS = 5 * NS_PER_S
+RETRY_ACCEPT_NS = NS_PER_S // 20
 BACKLOG = 512
 ACCEPTS = 32  # connections taken in one turn
 MOST_CONNECTIONS = 512
@@ -51,7 +52,7 @@
         self.connections = 0
         self.stopping = False
         self._listener: socket.socket | None = listening(address, BACKLOG)
-        scheduler.watch(self._listener.fileno(), self._accept)
+        self._watch()
 
     def stop(self) -> None:
         """Take no further connection; those open end with their next answer."""
@@ -61,6 +62,10 @@
             self._listener.close()
             self._listener = None
 
+    def _watch(self) -> None:
+        if self._listener is not None:
+            self.scheduler.watch(self._listener.fileno(), self._accept)
+
     def _accept(self) -> None:
         for _ in range(ACCEPTS):
             if self._listener is None:
@@ -70,7 +75,10 @@
             except (BlockingIOError, ConnectionAbortedError):
                 return
             except OSError:
-                return  # no descriptor is left: the next turn tries again
+                # No descriptor is left: an accept that fails at once would spin the loop.
+                self.scheduler.unwatch(self._listener.fileno())
+                self.scheduler.call_at(clock() + RETRY_ACCEPT_NS, self._watch)
+                return
             if self.connections >= self.most_connections:
                 sock.close()
                 continue
--- a/iristrack/placement/loads.py
+++ b/iristrack/placement/loads.py
@@ -36,6 +36,10 @@
         """Who has told anything lately."""
         return list(self._told)
 
+    def sidecars(self) -> int:
+        """Of all senders together."""
+        return sum(loads.sidecars for _, loads in self._told.values())
+
     def total(self, without: str | None = None) -> dict[str, ServerLoad]:
         """The sum of all loads but those of one sender, by instance."""
         told = (loads for node, (_, loads) in self._told.items() if node != without)
--- a/iristrack/wire/connection.py
+++ b/iristrack/wire/connection.py
@@ -15,6 +15,7 @@
 MOST_QUEUED_BYTES = 32 << 20  # to a peer that does not read; over it the connection ends
 USER_TIMEOUT_MS = 2500  # unacknowledged data for so long ends a connection
 BACKLOG = 512
+RETRY_ACCEPT_NS = 50 * NS_PER_MS
 
 
 class PeerConnection:
@@ -131,18 +132,29 @@
         self.scheduler = scheduler
         self.on_socket = on_socket
         self.listener = listening(address, BACKLOG)
-        scheduler.watch(self.listener.fileno(), self._accept)
+        self._stopped = False
+        self._watch()
+
+    def _watch(self) -> None:
+        if not self._stopped:
+            self.scheduler.watch(self.listener.fileno(), self._accept)
 
     def _accept(self) -> None:
         try:
             sock, _ = self.listener.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return
         except OSError:
+            # No descriptor is left: an accept that fails at once would spin the loop.
+            self.scheduler.unwatch(self.listener.fileno())
+            self.scheduler.call_at(clock() + RETRY_ACCEPT_NS, self._watch)
             return
         sock.setblocking(False)
         self.on_socket(sock)
 
     def stop(self) -> None:
         """Accept no more."""
+        self._stopped = True
         self.scheduler.unwatch(self.listener.fileno())
         self.listener.close()
 
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -224,6 +224,7 @@
     node: str
     count: int
     loads: tuple[ServerLoad, ...] = ()
+    sidecars: int = 1  # whose loads these are
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/system/test_core_losses.py
@@ -0,0 +1,181 @@
+"""Losses of core machines: whatever was acknowledged is there afterwards, and calls go on with a majority."""
+
+from __future__ import annotations
+
+import signal
+
+import pytest
+
+from iristrack.standin.client import BrokenAnswer, ask_once
+from iristrack.standin.documents import Document, route
+from iristrack.standin.machine import Machine
+from iristrack.standin.operator import call_once, replace_call
+from iristrack.standin.system import System
+from iristrack.standin.waiting import wait_until
+from tests.system.scene import HOST, plain, start_usual, usual_configuration
+
+VOTING = "event=voting"
+REPEATS = 3
+
+
+def version(revision: int) -> Document:
+    """A configuration with a route of its own."""
+    return usual_configuration(revision, route(HOST, f"/v{revision}/", "chat"))
+
+
+def serves(edge: Machine, path: str) -> bool:
+    try:
+        return ask_once(edge.front, plain(path)).status == 200
+    except BrokenAnswer:
+        return False
+
+
+def wait_served(system: System, revision: int) -> None:
+    for edge in system.edges:
+        wait_until(lambda edge=edge: serves(edge, f"/v{revision}/"), f"revision {revision} at {edge.name}")
+
+
+def restart(machines: list[Machine]) -> None:
+    """Start again, and not for the first time."""
+    for machine in machines:
+        machine.change_settings(bootstrap=False)
+        machine.start()
+
+
+def wait_voting(core: Machine, times: int) -> None:
+    """Until it has said so many times, over all its starts, that it votes."""
+    wait_until(lambda: core.log().count(VOTING) >= times, f"the vote of {core.name}")
+
+
+def newest(system: System, core: Machine | None = None) -> Document:
+    answer = system.operator.read(first=core.control if core else None)
+    assert answer.status == 200
+    return answer.json
+
+
+@pytest.fixture
+def system(new_system) -> System:
+    system = new_system(cores=3, edges=1)
+    start_usual(system)
+    for core in system.cores:
+        wait_voting(core, 1)
+    return system
+
+
+def test_the_member_that_acknowledged_is_killed_right_after(system: System) -> None:
+    for number in range(REPEATS):
+        core = system.cores[number]
+        base, document = 1 + number, version(2 + number)
+        answer = wait_until(
+            lambda core=core, document=document, base=base: _acknowledged(core, document, base),
+            "an acknowledgement",
+        )
+        core.kill()
+        assert answer.status == 200
+        for other in system.cores:
+            if other is not core:
+                assert newest(system, other) == document
+        wait_served(system, document["revision"])
+        restart([core])
+        system.wait_listening([core])
+        assert newest(system, core) == document
+
+
+def _acknowledged(core: Machine, document: Document, base: int):
+    answer = call_once(core.control, replace_call(document, base))
+    return answer if answer.status == 200 else None
+
+
+def test_a_member_without_its_disk_recovers_before_the_next_one_loses_its_own(system: System) -> None:
+    for number, core in enumerate(system.cores):
+        core.kill()
+        core.wipe_disk()
+        document = version(2 + number)
+        assert system.operator.replace(document, 1 + number).status == 200  # the other two
+        before = core.log().count(VOTING)
+        core.start()
+        wait_voting(core, before + 1)
+        assert newest(system) == document
+    # No disk of the first start is left: what is known was taken over from member to member.
+    for core in system.cores:
+        core.kill()
+    restart(system.cores)
+    assert newest(system) == version(4)
+    assert system.operator.replace(version(9), 4).status == 200
+    wait_served(system, 9)
+
+
+def test_a_member_that_lost_its_disk_has_no_vote_before_it_recovered(system: System) -> None:
+    assert system.operator.replace(version(2), 1).status == 200
+    first, second, third = system.cores
+    for core in system.cores:
+        core.kill()
+    second.wipe_disk()
+    third.wipe_disk()
+    restart([second, third])
+    system.wait_listening([second, third])
+    # Two of three are there, and none of them remembers: neither may take part in a new beginning.
+    for core in (second, third):
+        answer = call_once(core.control, replace_call(usual_configuration(1), 0))
+        assert answer.status == 503, answer
+    restart([first])
+    wait_until(lambda: "voting=true" in first.log(), "the first member's vote from its disk")
+    for core in system.cores:  # one memory of three is no majority
+        assert call_once(core.control, replace_call(usual_configuration(1), 0)).status == 503
+
+
+def test_all_members_are_killed_and_start_again(system: System) -> None:
+    for number in range(REPEATS):
+        document = version(2 + number)
+        assert system.operator.replace(document, 1 + number).status == 200
+        for core in system.cores:
+            core.kill()
+        assert serves(system.edges[0], "/plain/x")  # clients are served without the core
+        restart(system.cores)
+        assert newest(system) == document
+        wait_served(system, document["revision"])
+
+
+def test_everything_is_killed_and_one_disk_is_lost(system: System) -> None:
+    assert system.operator.replace(version(2), 1).status == 200
+    for machine in system.machines:
+        machine.kill()
+    system.cores[1].wipe_disk()
+    restart(system.machines)
+    assert newest(system) == version(2)
+    system.wait_ready()
+    wait_served(system, 2)
+    wait_voting(system.cores[1], 2)
+    assert system.operator.replace(version(3), 2).status == 200
+
+
+def test_a_frozen_member_holds_nobody_up_and_is_told_when_it_thaws(system: System) -> None:
+    for number, core in enumerate(system.cores):
+        core.send_signal(signal.SIGSTOP)
+        document = version(2 + number)
+        others = [other for other in system.cores if other is not core]
+        assert system.operator.replace(document, 1 + number, first=others[0].control).status == 200
+        assert newest(system, others[1]) == document
+        wait_served(system, document["revision"])
+        core.send_signal(signal.SIGCONT)
+        assert wait_until(lambda core=core: _read_once(core), f"an answer of {core.name}") == document
+
+
+def _read_once(core: Machine) -> Document | None:
+    try:
+        answer = call_once(core.control, type(replace_call(b"", 0))("GET", "/config/read"))
+    except OSError:
+        return None
+    return answer.json if answer.status == 200 else None
+
+
+def test_without_a_majority_nothing_is_acknowledged(system: System) -> None:
+    last, *others = system.cores
+    for core in others:
+        core.kill()
+    for _ in range(REPEATS):
+        assert call_once(last.control, replace_call(version(2), 1)).status == 503
+    assert serves(system.edges[0], "/plain/x")
+    restart(others)
+    assert system.operator.replace(version(2), 1).status == 200
+    wait_served(system, 2)
