--- a/tests/engines/test_roll.py
+++ b/tests/engines/test_roll.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from iristrack.engines.roll import AT_ONCE_SHARE, PREPARE_NS, Roll, Upgrade, wanted_upgrades
+from iristrack.engines.roll import AT_ONCE_SHARE, PREPARE_NS, REST_NS, Roll, Upgrade, wanted_upgrades
 from iristrack.placement.servers import ListedServer
 
 STEP_NS = 100_000_000
@@ -142,3 +142,17 @@
             break
     assert set(wanted) <= stubborn
     assert len(seen) == count
+
+
+def test_a_server_that_takes_no_order_lets_the_others_go_first() -> None:
+    roll = Roll()
+    wanted = upgrades(3)
+    roll.next_orders(wanted, 1, 0)
+    assert roll.next_orders(wanted, 1, PREPARE_NS) == [wanted[0]]
+    roll.given_up("i-00", PREPARE_NS)
+    assert roll.next_orders(wanted, 1, 2 * PREPARE_NS) == [wanted[1]]
+    assert "i-00" not in roll.preparing
+    roll.ended("i-01")
+    rested = PREPARE_NS + REST_NS
+    roll.next_orders(wanted[:1], 1, rested)
+    assert roll.next_orders(wanted[:1], 1, rested + PREPARE_NS) == [wanted[0]]
