Tell loads as changes of one sum, at a pace that follows the fleet's size

Found on the way: sums of loads dropped the outcomes, so that failing servers were judged by a sidecar's own alone. Changes of kept prompts are joined by holder, salt and model; heartbeats to core members other than the hub come every second in a large fleet; frames are written together, and options set once a connection.

--- a/iristrack/controlplane/kept_prompts.py
+++ b/iristrack/controlplane/kept_prompts.py
@@ -19,7 +19,7 @@
     parse_events,
     parse_list,
 )
-from iristrack.prefix_index.catalog import KeptCatalog, changes_of_events, changes_of_list
+from iristrack.prefix_index.catalog import KeptCatalog, changes_of_events, changes_of_list, coalesced
 from iristrack.runtime.scheduler import Cancelled, Scheduler, Task, clock
 from iristrack.wire.codec import encode
 from iristrack.wire.connection import PeerConnection
@@ -32,7 +32,9 @@
 PAUSE_NS = 500 * NS_PER_MS  # after a call that failed
 LIST_NS = 5000 * NS_PER_MS  # between two calls for all that a holder keeps, where events were lost
 CHECK_NS = 250 * NS_PER_MS  # between two looks at which holders there are
-FLUSH_NS = 50 * NS_PER_MS
+FLUSH_NS = 50 * NS_PER_MS  # between two messages of changes to few followers
+SUBSCRIBERS_PER_FLUSH = 16  # so many more followers add it once more
+LONGEST_FLUSH_NS = 200 * NS_PER_MS
 SNAPSHOT_ENTRIES = 64  # changes in one message
 
 
@@ -81,15 +83,19 @@
 
     def _flush(self) -> None:
         self._flush_now()
-        self.scheduler.call_at(clock() + FLUSH_NS, self._flush)
+        self.scheduler.call_at(clock() + self._flush_interval(), self._flush)
+
+    def _flush_interval(self) -> int:
+        """Rarer messages to more followers: each costs a wake-up there, whatever it holds."""
+        return min(LONGEST_FLUSH_NS, FLUSH_NS * (1 + len(self._subscribers) // SUBSCRIBERS_PER_FLUSH))
 
     def _flush_now(self) -> None:
         own, everything = self._own, self._all
         if not everything:
             return
         self._own, self._all = [], []
-        own_frame = encode(KeptBatch(tuple(own))) if own else None
-        all_frame = encode(KeptBatch(tuple(everything)))
+        own_frame = encode(KeptBatch(tuple(coalesced(own)))) if own else None
+        all_frame = encode(KeptBatch(tuple(coalesced(everything))))
         for connection, own_only in list(self._subscribers.items()):
             if connection.closed:
                 del self._subscribers[connection]
--- a/iristrack/controlplane/load_hub.py
+++ b/iristrack/controlplane/load_hub.py
@@ -1,16 +1,18 @@
-"""Summing what sidecars have under way: each core member sums its own and tells members and sidecars."""
+"""Summing what sidecars have under way: each core member sums its own and tells members and sidecars.
+
+All sidecars are told the same sum, in one frame that is encoded once; each takes its own share off by itself.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-from iristrack.placement.loads import LoadBoard, sum_loads
+from iristrack.placement.loads import LoadBoard, add_loads, report_interval
+from iristrack.placement.report_stream import ReportStream
 from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.wire.codec import encode
 from iristrack.wire.connection import PeerConnection
-from iristrack.wire.messages import ServerLoads
-
-NS_PER_MS = 1_000_000
-TELL_NS = 50 * NS_PER_MS
+from iristrack.wire.messages import ServerLoad, ServerLoads
 
 
 class LoadHub:
@@ -19,45 +21,63 @@
     def __init__(self, scheduler: Scheduler, node: str, tell_members: Callable[[ServerLoads], None]) -> None:
         """Starts with the first turn of the loop."""
         self.scheduler = scheduler
-        self.node = node
         self.tell_members = tell_members
         self.own = LoadBoard()
         self.members = LoadBoard()
         self._reporters: dict[PeerConnection, str] = {}
-        self._count = 0
-        self._own_changed = False
-        self._changed = False
-        scheduler.call_at(clock() + TELL_NS, self._tick)
+        self._to_members = ReportStream(node)
+        self._to_sidecars = ReportStream(node)
+        scheduler.call_at(clock() + report_interval(0), self._tick)
 
     def from_sidecar(self, connection: PeerConnection, loads: ServerLoads) -> None:
         """A sidecar told its loads."""
+        if connection not in self._reporters:
+            self._to_sidecars.begin_anew()
         self._reporters[connection] = loads.node
-        if self.own.take(loads, clock()):
-            self._own_changed = True
+        self.own.take(loads, clock())
 
     def from_member(self, loads: ServerLoads) -> None:
         """Another member told the sum of its sidecars' loads."""
-        if self.members.take(loads, clock()):
-            self._changed = True
+        self.members.take(loads, clock())
+
+    def member_joined(self) -> None:
+        """A member was dialled that may know nothing of this one's loads."""
+        self._to_members.begin_anew()
+
+    @property
+    def sidecars(self) -> int:
+        """How many sidecars report, here and at other members."""
+        return self.own.sidecars() + self.members.sidecars()
 
     def _tick(self) -> None:
         now = clock()
         self.own.expire(now)
         self.members.expire(now)
-        self._reporters = {c: node for c, node in self._reporters.items() if not c.closed}
-        if self._own_changed:
-            self._count += 1
-            total = tuple(self.own.total().values())
-            self.tell_members(ServerLoads(self.node, self._count, total, self.own.sidecars()))
-        if self._own_changed or self._changed:
-            self._tell_sidecars()
-        self._own_changed = self._changed = False
-        self.scheduler.call_at(now + TELL_NS, self._tick)
-
-    def _tell_sidecars(self) -> None:
-        elsewhere = ServerLoads("", 0, tuple(self.members.total().values()))
-        sidecars = self.own.sidecars() + self.members.sidecars()
-        for connection, node in self._reporters.items():
-            here = ServerLoads("", 0, tuple(self.own.total(without=node).values()))
-            total = tuple(sum_loads((here, elsewhere)).values())
-            connection.send(ServerLoads(self.node, self._count, total, sidecars))
+        self._drop_reporters()
+        report = self._to_members.next(self.own.total, self.own.sidecars(), now)
+        if report is not None:
+            self.tell_members(report)
+        self._tell_sidecars(now)
+        self.scheduler.call_at(now + report_interval(self.sidecars), self._tick)
+
+    def _drop_reporters(self) -> None:
+        """Forget sidecars that have left, or that report to another member by now."""
+        heard = set(self.own.senders())
+        self._reporters = {c: node for c, node in self._reporters.items() if not c.closed and node in heard}
+
+    def _tell_sidecars(self, now: int) -> None:
+        if not self._reporters:
+            return
+        report = self._to_sidecars.next(_sum(self.own.total, self.members.total), self.sidecars, now)
+        if report is not None:
+            frame = encode(report)
+            for connection in self._reporters:
+                connection.send_frame(frame)
+
+
+def _sum(first: dict[str, ServerLoad], second: dict[str, ServerLoad]) -> dict[str, ServerLoad]:
+    total = dict(first)
+    for instance, load in second.items():
+        known = total.get(instance)
+        total[instance] = load if known is None else add_loads(known, load)
+    return total
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -217,6 +217,7 @@
     def _on_dialed(self, connection: PeerConnection) -> None:
         connection.send(Subscribe(self.distribution.topics.versions()))
         connection.send(KeptSubscribe(own_only=True))
+        self.load_hub.member_joined()
 
     def _on_socket(self, sock: socket.socket) -> None:
         connection = PeerConnection(self.scheduler, sock, self._on_message, self.distribution.forget)
--- a/iristrack/dataplane/attempts.py
+++ b/iristrack/dataplane/attempts.py
@@ -9,7 +9,7 @@
 
 from iristrack.dataplane.clients import ClientConnection, ClientLeft
 from iristrack.http1 import messages as http
-from iristrack.http1.connection import RECEIVE, Link
+from iristrack.http1.connection import RECEIVE, Address, Link, connect
 from iristrack.net.links import Links
 from iristrack.placement.servers import Server
 from iristrack.runtime.scheduler import READ, WOKEN, WRITE, Scheduler, clock
@@ -85,7 +85,6 @@
         if link is None:
             raise AttemptFailed("no connection can be had", ran=False)
         self._link = link
-        self._set_options(link.sock)
         self.written = True
         try:
             self._write(request)
@@ -192,13 +191,16 @@
             except BlockingIOError:
                 self.scheduler.wait(link.fd, WRITE, self.deadline)
 
-    @staticmethod
-    def _set_options(sock: socket.socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+def connect_to_server(scheduler: Scheduler, address: Address, deadline: int) -> socket.socket:
+    """A new connection to a server, which ends where its machine falls silent; raises `OSError`."""
+    sock = connect(scheduler, address, deadline)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    return sock
 
 
 def _keep_alive_ns(head: http.Head) -> int | None:
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -13,7 +13,7 @@
 from iristrack.relay.topics import TopicTable
 from iristrack.runtime.scheduler import clock
 from iristrack.wire.connection import PeerConnection
-from iristrack.wire.dialing import DialerSet
+from iristrack.wire.dialing import HEARTBEAT_NS, DialerSet
 from iristrack.wire.messages import (
     BusyServers,
     ConfigurationValue,
@@ -31,6 +31,8 @@
 from iristrack.wire.values import decode_value
 
 NS_PER_MS = 1_000_000
+SIDECARS_PER_HEARTBEAT = 24  # so many more sidecars add the first interval once more
+LONGEST_HEARTBEAT_NS = 1000 * NS_PER_MS  # a change that the hub did not push is heard of within it
 BUSY_NS = 3000 * NS_PER_MS  # a server that takes new weights is left alone for so long unless told otherwise
 
 
@@ -57,7 +59,12 @@
             topics.SERVERS: servers.on_update,
         }
         self.dialers = DialerSet(
-            plane.scheduler, self._hello, self._heartbeat, self._subscribe, self._on_message
+            plane.scheduler,
+            self._hello,
+            self._heartbeat,
+            self._subscribe,
+            self._on_message,
+            self._heartbeat_interval,
         )
         self.follow_seeds()
 
@@ -79,6 +86,12 @@
         self.heartbeats += 1
         return Heartbeat(self.plane.settings.node_name, self.process, self.heartbeats, self.topics.versions())
 
+    def _heartbeat_interval(self, connection: PeerConnection) -> int:
+        """The hub is asked often; the others, which only show what was missed, more rarely in a large fleet."""
+        if connection is self._hub:
+            return HEARTBEAT_NS
+        return min(LONGEST_HEARTBEAT_NS, HEARTBEAT_NS * (1 + self.plane.sidecars // SIDECARS_PER_HEARTBEAT))
+
     def _subscribe(self, connection: PeerConnection) -> None:
         """Have the hub push what changes; the others only send what a heartbeat shows to be missed."""
         push = connection is self.hub()
@@ -100,7 +113,8 @@
             if handler is not None:
                 handler(message.value)
         elif isinstance(message, ServerLoads):
-            self.loads.on_others(message)
+            if connection is self._hub:
+                self.loads.on_others(message)
         elif isinstance(message, KeptBatch):
             if connection is self._hub:
                 self._on_kept(message)
--- a/iristrack/dataplane/load_reports.py
+++ b/iristrack/dataplane/load_reports.py
@@ -6,16 +6,19 @@
 from typing import Protocol
 
 from iristrack.dataplane.state import PlaneState
+from iristrack.placement.loads import (
+    EXPIRY_NS,
+    apply_changes,
+    by_instance,
+    report_interval,
+    subtract_loads,
+)
 from iristrack.placement.outcomes import NONE, Outcomes
+from iristrack.placement.report_stream import ReportStream
 from iristrack.runtime.scheduler import clock
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.messages import ServerLoad, ServerLoads
 
-NS_PER_MS = 1_000_000
-TELL_NS = 50 * NS_PER_MS  # between two reports, where anything has changed
-REPEAT_NS = 400 * NS_PER_MS  # and where nothing has: a report lapses after a second
-EXPIRY_NS = 1000 * NS_PER_MS
-
 
 class HubFinder(Protocol):
     """Knows the core member that sums loads."""
@@ -25,42 +28,57 @@
 
 
 class LoadReporter:
-    """Sends this sidecar's loads and follows the sum of the others'."""
+    """Sends this sidecar's loads to the hub and follows the sum of all sidecars' that the hub tells."""
 
     def __init__(self, plane: PlaneState, finder: HubFinder) -> None:
         """Starts with the first turn of the loop."""
         self.plane = plane
         self.finder = finder
-        self._count = 0
-        self._told: tuple[ServerLoad, ...] = ()
-        self._told_at = 0
+        self._stream = ReportStream(plane.settings.node_name)
+        self._own: dict[str, ServerLoad] = {}  # as the hub was told
+        self._total: dict[str, ServerLoad] = {}  # as the hub told, this sidecar's among them
+        self._told_hub: PeerConnection | None = None
         self._heard_at = 0
-        plane.scheduler.call_at(clock() + TELL_NS, self._tick)
+        plane.scheduler.call_at(clock() + self._interval, self._tick)
+
+    @property
+    def _interval(self) -> int:
+        return report_interval(self.plane.sidecars if self._heard_at else 0)
 
     def on_others(self, message: ServerLoads) -> None:
-        """The sum of what the other sidecars have under way."""
+        """The hub told the sum of all sidecars, or what has changed of it."""
         self._heard_at = clock()
-        self._take({load.instance: load for load in message.loads})
+        if message.partial:
+            apply_changes(self._total, message.loads)
+        else:
+            self._total = by_instance(message.loads)
         self.plane.follow_sidecars(message.sidecars)
+        self._follow_others()
 
-    def _take(self, told: dict[str, ServerLoad]) -> None:
+    def _follow_others(self) -> None:
+        """Have each server know what is under way there but for this sidecar's own."""
         for server in self.plane.servers.servers.values():
-            load = told.get(server.instance_id)
+            load = self._total.get(server.instance_id)
+            own = self._own.get(server.instance_id)
+            if load is not None and own is not None:
+                load = subtract_loads(load, own)
             server.others_inflight = 0 if load is None else load.requests
             server.others_unread_pieces = 0 if load is None else load.pieces
             server.others_outcomes = NONE if load is None else Outcomes(load.answered, load.failed)
-        self.plane.servers.judge(clock())
 
     def _tick(self) -> None:
         now = clock()
         if self._heard_at and now - self._heard_at > EXPIRY_NS:
-            self._heard_at = 0
-            self._take({})
-        loads = tuple(self._own_loads(now))
+            self._forget_others()
+        own = {load.instance: load for load in self._own_loads(now)}
         self.plane.servers.judge(now)
-        if loads != self._told or now - self._told_at > REPEAT_NS:
-            self._tell(loads, now)
-        self.plane.scheduler.call_at(now + TELL_NS, self._tick)
+        self._tell(own, now)
+        self.plane.scheduler.call_at(now + self._interval, self._tick)
+
+    def _forget_others(self) -> None:
+        self._heard_at = 0
+        self._total = {}
+        self._follow_others()
 
     def _own_loads(self, now: int) -> Iterator[ServerLoad]:
         for server in self.plane.servers.servers.values():
@@ -74,10 +92,14 @@
                     outcomes.failed,
                 )
 
-    def _tell(self, loads: tuple[ServerLoad, ...], now: int) -> None:
+    def _tell(self, own: dict[str, ServerLoad], now: int) -> None:
         hub = self.finder.hub()
         if hub is None:
             return
-        self._count += 1
-        self._told, self._told_at = loads, now
-        hub.send(ServerLoads(self.plane.settings.node_name, self._count, loads))
+        if hub is not self._told_hub:
+            self._told_hub = hub
+            self._stream.begin_anew()
+        report = self._stream.next(own, 1, now)
+        if report is not None:
+            self._own = own
+            hub.send(report)
--- a/iristrack/dataplane/program.py
+++ b/iristrack/dataplane/program.py
@@ -9,6 +9,7 @@
 import socket
 from collections.abc import Callable
 
+from iristrack.dataplane.attempts import connect_to_server
 from iristrack.dataplane.clients import ClientListener
 from iristrack.dataplane.control_link import ControlLink
 from iristrack.dataplane.discovery import ListFollower
@@ -44,6 +45,7 @@
         self.scheduler = Scheduler(lambda text: log.exception(text))
         most = settings.limits.max_fds or 1024
         links = Links(self.scheduler, SERVER_IDLE_NS, int(most * SERVER_SHARE), whole=0)
+        links.connect = connect_to_server
         self.plane = PlaneState(settings, self.scheduler, links, random.Random())
         self.most_clients = int(most * CLIENT_SHARE)
         self.control: ControlLink | None = None
--- a/iristrack/prefix_index/catalog.py
+++ b/iristrack/prefix_index/catalog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
 
 from iristrack.prefix_index.answers import KeptEvent, KeptPart
 from iristrack.wire.messages import KeptParts, PartTokens
@@ -79,6 +80,35 @@
     return [KeptParts(holder, True, "", ""), *_grouped(holder, rows)]
 
 
+def coalesced(changes: Iterable[KeptParts]) -> list[KeptParts]:
+    """The same changes in fewer rows: one for each holder, salt and model, with the newest word on each part."""
+    holders: dict[str, _Pending] = {}
+    for change in changes:
+        pending = holders.setdefault(change.holder, _Pending())
+        if change.reset:
+            pending.reset = True
+            pending.spaces.clear()
+        if change.parts:
+            space = pending.spaces.setdefault((change.salt, change.model), {})
+            space.update((part.part, part) for part in change.parts)
+    return [row for holder, pending in holders.items() for row in pending.rows(holder)]
+
+
+@dataclass(slots=True)
+class _Pending:
+    """Changes of one holder that are not told yet."""
+
+    reset: bool = False
+    spaces: dict[Space, dict[str, PartTokens]] = field(default_factory=dict)
+
+    def rows(self, holder: str) -> Iterator[KeptParts]:
+        """The changes, the one that voids what was known before them."""
+        if self.reset:
+            yield KeptParts(holder, True, "", "")
+        for (salt, model), parts in self.spaces.items():
+            yield KeptParts(holder, False, salt, model, tuple(parts.values()))
+
+
 def _grouped(holder: str, rows: Iterable[tuple[str, str, PartTokens]]) -> list[KeptParts]:
     changes: list[tuple[str, str, list[PartTokens]]] = []
     for salt, model, part in rows:
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -81,7 +81,7 @@
     MessageKind(12, messages.DutyValue),
     MessageKind(13, messages.MembersValue),
     MessageKind(14, messages.BusyServers, version=2),
-    MessageKind(15, messages.ServerLoads),
+    MessageKind(15, messages.ServerLoads, version=2),
     MessageKind(16, messages.ServersValue),
     MessageKind(17, messages.KeptBatch),
     MessageKind(18, messages.KeptSubscribe),
--- a/iristrack/wire/connection.py
+++ b/iristrack/wire/connection.py
@@ -14,6 +14,7 @@
 RECEIVE = 64 * 1024
 MOST_QUEUED_BYTES = 32 << 20  # to a peer that does not read; over it the connection ends
 USER_TIMEOUT_MS = 2500  # unacknowledged data for so long ends a connection
+MOST_WRITE = 64 * 1024  # bytes of frames that are joined
 BACKLOG = 512
 RETRY_ACCEPT_NS = 50 * NS_PER_MS
 
@@ -97,29 +98,40 @@
             self.sock.close()
 
     def _write(self) -> None:
-        if self.closed:
-            return
-        # The reading task waits on the descriptor, and the scheduler knows one waiter for each: a copy is waited on.
-        copy = self.sock.dup()
+        """Write the queue, several small frames at a time."""
         try:
-            while self._queue:
-                frame = self._queue.popleft()
-                self._queued -= len(frame)
-                self._send(copy, frame)
+            while self._queue and not self.closed:
+                self._send(self._next_bytes())
             self._writing = None
         except (OSError, Cancelled):
             self._writing = None
             self.close()
-        finally:
-            copy.close()
 
-    def _send(self, copy: socket.socket, frame: bytes) -> None:
-        view = memoryview(frame)
+    def _next_bytes(self) -> bytes:
+        """The first frames of the queue, as many as fit into one write, or one that is longer."""
+        frames = [self._queue.popleft()]
+        length = len(frames[0])
+        while self._queue and length + len(self._queue[0]) <= MOST_WRITE:
+            frames.append(self._queue.popleft())
+            length += len(frames[-1])
+        self._queued -= length
+        return frames[0] if len(frames) == 1 else b"".join(frames)
+
+    def _send(self, data: bytes) -> None:
+        view = memoryview(data)
         while view:
             try:
-                view = view[copy.send(view) :]
+                view = view[self.sock.send(view) :]
             except BlockingIOError:
-                self.scheduler.wait(copy.fileno(), WRITE, None)
+                self._wait_writable()
+
+    def _wait_writable(self) -> None:
+        # The reading task waits on the descriptor, and the scheduler knows one waiter for each: a copy is waited on.
+        copy = self.sock.dup()
+        try:
+            self.scheduler.wait(copy.fileno(), WRITE, None)
+        finally:
+            copy.close()
 
 
 class PeerListener:
--- a/iristrack/wire/dialing.py
+++ b/iristrack/wire/dialing.py
@@ -14,7 +14,8 @@
 FIRST_PAUSE_NS = 50 * NS_PER_MS
 LONGEST_PAUSE_NS = 1000 * NS_PER_MS
 HEARTBEAT_NS = 500 * NS_PER_MS
-SILENT_NS = 1600 * NS_PER_MS  # a peer that says nothing for so long is dialled anew
+SILENT_HEARTBEATS = 3  # a peer that answers none of so many is dialled anew,
+SILENT_MARGIN_NS = 100 * NS_PER_MS  # with so much more time for the last answer
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -26,7 +27,8 @@
 class Dialer:
     """One connection to one address, dialled anew whenever it ends.
 
-    `on_open` is called with each new connection after `Hello` was sent; heartbeats are sent while it lasts.
+    `on_open` is called with each new connection after `Hello` was sent; heartbeats are sent while it lasts, `interval`
+    nanoseconds apart.
     """
 
     def __init__(
@@ -37,9 +39,11 @@
         heartbeat: Callable[[], Heartbeat],
         on_open: Callable[[PeerConnection], None],
         on_message: Callable[[PeerConnection, Message], None],
+        interval: Callable[[PeerConnection], int],
     ) -> None:
         """Starts with the next turn of the loop."""
         self.scheduler = scheduler
+        self.interval = interval
         self.address = address
         self.hello = hello
         self.heartbeat = heartbeat
@@ -93,8 +97,9 @@
         """Send heartbeats until the connection ends or falls silent."""
         while not connection.closed:
             connection.send(self.heartbeat())
-            self.scheduler.sleep(HEARTBEAT_NS)
-            if clock() - connection.heard_at > SILENT_NS:
+            interval = self.interval(connection)
+            self.scheduler.sleep(interval)
+            if clock() - connection.heard_at > SILENT_HEARTBEATS * interval + SILENT_MARGIN_NS:
                 connection.close()
 
     def _closed(self, connection: PeerConnection) -> None:
@@ -112,9 +117,12 @@
         heartbeat: Callable[[], Heartbeat],
         on_open: Callable[[PeerConnection], None],
         on_message: Callable[[PeerConnection, Message], None],
+        interval: Callable[[PeerConnection], int] = lambda connection: HEARTBEAT_NS,
     ) -> None:
         """No address is dialled yet."""
-        self._make = lambda address: Dialer(scheduler, address, hello, heartbeat, on_open, on_message)
+        self._make = lambda address: Dialer(
+            scheduler, address, hello, heartbeat, on_open, on_message, interval
+        )
         self.dialers: dict[str, Dialer] = {}
 
     def follow(self, addresses: Iterable[str]) -> None:
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -219,12 +219,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerLoads:
-    """All that the sender's side has under way; each message takes the place of the sender's earlier one."""
+    """What the sender's side has under way: all of it, or what has changed since its message before this one."""
 
     node: str
     count: int
     loads: tuple[ServerLoad, ...] = ()
     sidecars: int = 1  # whose loads these are
+    partial: bool = (
+        False  # only servers with changes are named, and zeros are for those with nothing any more
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/prefix_index/test_catalog.py
+++ b/tests/prefix_index/test_catalog.py
@@ -4,7 +4,12 @@
 from hypothesis import strategies as st
 
 from iristrack.prefix_index.answers import KeptEvent, KeptPart
-from iristrack.prefix_index.catalog import KeptCatalog, changes_of_events, changes_of_list
+from iristrack.prefix_index.catalog import (
+    KeptCatalog,
+    changes_of_events,
+    changes_of_list,
+    coalesced,
+)
 from iristrack.prefix_index.index import PrefixIndex
 from iristrack.prefix_index.parts import Part
 from iristrack.wire.messages import KeptParts, PartTokens
@@ -80,3 +85,11 @@
     assert kept(changes_of_events("h", events)) == {("h", "s2", "m", "a"): 5, ("h", "s1", "m", "a"): 3}
     changes = [*changes_of_events("h", events), *changes_of_list("h", [KeptPart("s3", "c", 2, "m")])]
     assert kept(changes) == {("h", "s3", "m", "c"): 2}
+
+
+@given(CHANGES, CHANGES)
+def test_fewer_rows_tell_the_same(before, changes) -> None:
+    rows = coalesced(changes)
+    assert kept([*before, *rows]) == kept([*before, *changes])
+    assert len(rows) <= len(changes) + sum(row.reset for row in rows)
+    assert len({(row.holder, row.reset, row.salt, row.model) for row in rows}) == len(rows)
