--- a/iristrack/controlplane/distribution.py
+++ b/iristrack/controlplane/distribution.py
@@ -1,14 +1,31 @@
-"""Handing topics on: to subscribers, and to the other core members."""
+"""Handing topics on: to subscribers, and to the other core members.
+
+A connection loses nothing while it lasts, so that nothing is sent twice over one. A subscriber whose link is slower
+than the changes come is sent the newest value of each topic when it has taken what was sent before, and none between.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from iristrack.relay.topics import TopicTable
 from iristrack.wire.codec import encode
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.messages import Heartbeat, Subscribe, Update, Version
 
+MOST_AHEAD = 32 * 1024  # bytes queued for a subscriber, above which changes wait for the newest
+
+
+@dataclass(slots=True)
+class Subscriber:
+    """What one connection is told."""
+
+    push: bool  # changes are told as they come, else only what is asked for
+    member: bool  # a core member, which the first to know tells by itself
+    sent: dict[str, int] = field(default_factory=dict)  # the newest sequence of each topic on this connection
+    waiting: set[str] = field(default_factory=set)  # topics with a change that has not been sent
+
 
 class Distribution:
     """The topics of this process and those who follow them."""
@@ -16,9 +33,10 @@
     def __init__(self, broadcast_to_core: Callable[[Update], None]) -> None:
         """`broadcast_to_core` sends to the other core members."""
         self.topics = TopicTable()
-        self.subscribers: dict[PeerConnection, bool] = {}  # whether changes are pushed
+        self.subscribers: dict[PeerConnection, Subscriber] = {}
         self.broadcast_to_core = broadcast_to_core
         self.on_learned: list[Callable[[Update], None]] = []
+        self._frames: dict[str, tuple[int, bytes]] = {}  # by topic: the sequence, and the update's frame
 
     def publish(self, update: Update) -> None:
         """Take a value that this process has made or learned first, and tell everyone."""
@@ -32,29 +50,60 @@
     def _learn(self, update: Update) -> bool:
         if not self.topics.learn(update):
             return False
-        frame = encode(update)
-        for subscriber, push in list(self.subscribers.items()):
-            if push:
-                subscriber.send_frame(frame)
+        for connection, subscriber in list(self.subscribers.items()):
+            if subscriber.push and not subscriber.member:
+                self._offer(connection, subscriber, update)
         for call in self.on_learned:
             call(update)
         return True
 
-    def subscribe(self, connection: PeerConnection, message: Subscribe) -> None:
-        """Tell a new subscriber what it has missed, and everything from now on."""
-        self.subscribers[connection] = message.push
+    def subscribe(self, connection: PeerConnection, message: Subscribe, member: bool = False) -> None:
+        """Tell a subscriber what it has missed and, where it wants pushes, everything from now on."""
+        known = self.subscribers.get(connection)
+        if known is None:
+            known = self.subscribers[connection] = Subscriber(message.push, member)
+            connection.on_drained = self._on_drained
+        known.push = message.push
         self.topics.saw(message.known)
-        self._catch_up(connection, message.known)
+        self._catch_up(connection, known, message.known)
 
     def on_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
-        """A subscriber tells how new its copies are: what it has missed is sent again."""
+        """A subscriber tells how new its copies are: one that wants pushes is sent what it has missed."""
         self.topics.saw(message.known)
-        if connection in self.subscribers:
-            self._catch_up(connection, message.known)
+        subscriber = self.subscribers.get(connection)
+        if subscriber is not None and subscriber.push:
+            self._catch_up(connection, subscriber, message.known)
 
-    def _catch_up(self, connection: PeerConnection, known: tuple[Version, ...]) -> None:
+    def _catch_up(
+        self, connection: PeerConnection, subscriber: Subscriber, known: tuple[Version, ...]
+    ) -> None:
         for update in self.topics.missed_by(known):
-            connection.send(update)
+            self._offer(connection, subscriber, update)
+
+    def _offer(self, connection: PeerConnection, subscriber: Subscriber, update: Update) -> None:
+        """Send an update, or have it wait where much is under way to this subscriber."""
+        if subscriber.sent.get(update.topic, -1) >= update.sequence:
+            return
+        if connection.queued > MOST_AHEAD:
+            subscriber.waiting.add(update.topic)
+            return
+        subscriber.sent[update.topic] = update.sequence
+        subscriber.waiting.discard(update.topic)
+        connection.send_frame(self._frame(update))
+
+    def _frame(self, update: Update) -> bytes:
+        known = self._frames.get(update.topic)
+        if known is None or known[0] != update.sequence:
+            known = self._frames[update.topic] = (update.sequence, encode(update))
+        return known[1]
+
+    def _on_drained(self, connection: PeerConnection) -> None:
+        """All that was sent has been taken: what came meanwhile follows, the newest of each topic."""
+        subscriber = self.subscribers.get(connection)
+        if subscriber is None:
+            return
+        for topic in sorted(subscriber.waiting):
+            self._offer(connection, subscriber, self.topics.get(topic))
 
     def forget(self, connection: PeerConnection) -> None:
         """The connection has ended."""
--- a/iristrack/controlplane/kept_prompts.py
+++ b/iristrack/controlplane/kept_prompts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from iristrack.http1 import messages as http
 from iristrack.http1.fetching import Caller
@@ -36,6 +37,13 @@
 SUBSCRIBERS_PER_FLUSH = 16  # so many more followers add it once more
 LONGEST_FLUSH_NS = 200 * NS_PER_MS
 SNAPSHOT_ENTRIES = 64  # changes in one message
+MOST_AHEAD = 512 * 1024  # bytes queued for a follower, above which changes are left out
+
+
+@dataclass(slots=True)
+class _Follower:
+    own_only: bool  # it follows the holders that this member watches itself
+    behind: bool = False  # changes were left out
 
 
 class KeptPrompts:
@@ -55,9 +63,7 @@
         self.members = members
         self.catalog = KeptCatalog()
         self._tasks: dict[str, Task] = {}
-        self._subscribers: dict[
-            PeerConnection, bool
-        ] = {}  # whether it follows this member's own holders alone
+        self._followers: dict[PeerConnection, _Follower] = {}
         self._own: list[KeptParts] = []  # changes to tell, of own holders
         self._all: list[KeptParts] = []  # and of all
         scheduler.spawn("kept prompts", self._run)
@@ -68,8 +74,12 @@
     def subscribe(self, connection: PeerConnection, message: KeptSubscribe) -> None:
         """Tell a follower all there is, and every change from now on."""
         self._flush_now()
-        self._subscribers[connection] = message.own_only
-        holders = self._tasks if message.own_only else self.catalog.holders()
+        follower = self._followers[connection] = _Follower(message.own_only)
+        self._send_snapshot(connection, follower)
+
+    def _send_snapshot(self, connection: PeerConnection, follower: _Follower) -> None:
+        follower.behind = False
+        holders = self._tasks if follower.own_only else self.catalog.holders()
         changes = list(self.catalog.snapshot(list(holders)))
         for at in range(0, len(changes), SNAPSHOT_ENTRIES):
             connection.send(KeptBatch(tuple(changes[at : at + SNAPSHOT_ENTRIES])))
@@ -87,7 +97,7 @@
 
     def _flush_interval(self) -> int:
         """Rarer messages to more followers: each costs a wake-up there, whatever it holds."""
-        return min(LONGEST_FLUSH_NS, FLUSH_NS * (1 + len(self._subscribers) // SUBSCRIBERS_PER_FLUSH))
+        return min(LONGEST_FLUSH_NS, FLUSH_NS * (1 + len(self._followers) // SUBSCRIBERS_PER_FLUSH))
 
     def _flush_now(self) -> None:
         own, everything = self._own, self._all
@@ -96,13 +106,20 @@
         self._own, self._all = [], []
         own_frame = encode(KeptBatch(tuple(coalesced(own)))) if own else None
         all_frame = encode(KeptBatch(tuple(coalesced(everything))))
-        for connection, own_only in list(self._subscribers.items()):
+        for connection, follower in list(self._followers.items()):
             if connection.closed:
-                del self._subscribers[connection]
-            elif not own_only:
-                connection.send_frame(all_frame)
-            elif own_frame is not None:
-                connection.send_frame(own_frame)
+                del self._followers[connection]
+            else:
+                self._tell(connection, follower, own_frame if follower.own_only else all_frame)
+
+    def _tell(self, connection: PeerConnection, follower: _Follower, frame: bytes | None) -> None:
+        """Send changes; one whose link takes too few of them is told everything anew when it has taken the rest."""
+        if follower.behind and not connection.queued:
+            self._send_snapshot(connection, follower)
+            return
+        follower.behind = follower.behind or connection.queued > MOST_AHEAD
+        if frame is not None and not follower.behind:
+            connection.send_frame(frame)
 
     # ---- own holders
 
--- a/iristrack/controlplane/load_hub.py
+++ b/iristrack/controlplane/load_hub.py
@@ -14,6 +14,8 @@
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.messages import ServerLoad, ServerLoads
 
+MOST_AHEAD = 32 * 1024  # bytes queued for a sidecar, above which it is told nothing
+
 
 class LoadHub:
     """The loads of the sidecars that report to this member, and the sums that other members told."""
@@ -72,7 +74,10 @@
         if report is not None:
             frame = encode(report)
             for connection in self._reporters:
-                connection.send_frame(frame)
+                if (
+                    connection.queued <= MOST_AHEAD
+                ):  # a slow link is told the next whole sum that it has room for
+                    connection.send_frame(frame)
 
 
 def _sum(first: dict[str, ServerLoad], second: dict[str, ServerLoad]) -> dict[str, ServerLoad]:
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -229,7 +229,7 @@
         elif isinstance(message, Update):
             self.distribution.hear(message)
         elif isinstance(message, Subscribe):
-            self.distribution.subscribe(connection, message)
+            self.distribution.subscribe(connection, message, member=connection in self._core)
         elif isinstance(message, Heartbeat):
             self._on_heartbeat(connection, message)
         elif isinstance(message, ServerLoads):
--- a/iristrack/controlplane/status.py
+++ b/iristrack/controlplane/status.py
@@ -243,6 +243,8 @@
     found: dict[tuple[str, str], PeerStatus] = {}
     for connection, hello in parts.peer_book.open():
         before = found.get((hello.node, hello.process))
+        subscriber = subscribers.get(connection)
+        pushed = subscriber is not None and subscriber.push
         silent_ms = (now - connection.heard_at) // NS_PER_MS
         found[hello.node, hello.process] = PeerStatus(
             node=hello.node,
@@ -250,8 +252,8 @@
             process=hello.process,
             zone=hello.zone,
             address=hello.address,
-            subscribed=connection in subscribers or (before is not None and before.subscribed),
-            pushed=subscribers.get(connection, False) or (before is not None and before.pushed),
+            subscribed=subscriber is not None or (before is not None and before.subscribed),
+            pushed=pushed or (before is not None and before.pushed),
             silent_ms=silent_ms if before is None else min(silent_ms, before.silent_ms),
         )
     return tuple(sorted(found.values(), key=lambda peer: (peer.role, peer.node, peer.process)))
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -10,6 +10,7 @@
 from iristrack.dataplane.load_reports import LoadReporter
 from iristrack.dataplane.state import ActiveConfiguration, ModelVersion, PlaneState
 from iristrack.relay import topics
+from iristrack.relay.catch_up import WAIT_NS, CatchUp
 from iristrack.relay.topics import TopicTable
 from iristrack.runtime.scheduler import clock
 from iristrack.wire.connection import PeerConnection
@@ -44,6 +45,7 @@
         self.plane = plane
         self.log = log
         self.topics = TopicTable()
+        self.catch_up = CatchUp()
         self.process = secrets.token_hex(6)
         self.heartbeats = 0
         self.zones: dict[PeerConnection, str] = {}  # of the core members at the other ends
@@ -93,7 +95,7 @@
         return min(LONGEST_HEARTBEAT_NS, HEARTBEAT_NS * (1 + self.plane.sidecars // SIDECARS_PER_HEARTBEAT))
 
     def _subscribe(self, connection: PeerConnection) -> None:
-        """Have the hub push what changes; the others only send what a heartbeat shows to be missed."""
+        """Have the hub push what changes; the others send what is missed now, and later what is asked for."""
         push = connection is self.hub()
         connection.send(Subscribe(self.topics.versions(), push))
 
@@ -118,10 +120,23 @@
         elif isinstance(message, KeptBatch):
             if connection is self._hub:
                 self._on_kept(message)
+        elif isinstance(message, Heartbeat):
+            self._on_heartbeat(connection, message)
         elif isinstance(message, Hello):
             self.zones[connection] = message.zone
             self._choose_hub()
 
+    def _on_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
+        """A member tells how new its topics are: what the hub does not push in time is asked for here."""
+        now = clock()
+        if connection is not self._hub and self.catch_up.heard(self.topics.versions(), message.known, now):
+            self.plane.scheduler.call_at(now + WAIT_NS, self._ask, connection)
+
+    def _ask(self, connection: PeerConnection) -> None:
+        known = self.topics.versions()
+        if connection is not self._hub and not connection.closed and self.catch_up.is_due(known, clock()):
+            connection.send(Subscribe(known, push=False))
+
     def hub(self) -> PeerConnection | None:
         """The core member that sums loads for this zone: one in the zone where there is one, else any."""
         self.zones = {c: zone for c, zone in self.zones.items() if not c.closed}
--- a/iristrack/dataplane/load_reports.py
+++ b/iristrack/dataplane/load_reports.py
@@ -39,6 +39,7 @@
         self._total: dict[str, ServerLoad] = {}  # as the hub told, this sidecar's among them
         self._told_hub: PeerConnection | None = None
         self._heard_at = 0
+        self._heard_count = 0  # the hub's number of the newest report that was followed
         plane.scheduler.call_at(clock() + self._interval, self._tick)
 
     @property
@@ -48,10 +49,13 @@
     def on_others(self, message: ServerLoads) -> None:
         """The hub told the sum of all sidecars, or what has changed of it."""
         self._heard_at = clock()
-        if message.partial:
+        if not message.partial:
+            self._total = by_instance(message.loads)
+        elif message.count == self._heard_count + 1:
             apply_changes(self._total, message.loads)
         else:
-            self._total = by_instance(message.loads)
+            return  # a report before it was left out: the next whole one counts
+        self._heard_count = message.count
         self.plane.follow_sidecars(message.sidecars)
         self._follow_others()
 
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -2,6 +2,9 @@
 
     frame    u32 length of what follows | u16 message kind | u16 schema version | Avro body, all big-endian
 
+A body over `COMPRESS_OVER` bytes stands there as zlib makes it, where that is shorter, and the version's highest bit
+says so: configurations and lists shrink to a fraction, which is what links of a few Mbit/s need.
+
 A message is a dataclass of `messages`, a schema file `schemas/<name>.<version>.avsc` for each version that was ever
 sent, and a row of `KINDS`. A new version of a schema only appends fields with defaults to the outermost record: a
 reader of an older program reads the fields that it knows and leaves the rest, a reader of a newer one resolves the
@@ -15,6 +18,7 @@
 import re
 import struct
 import typing
+import zlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, fields, is_dataclass
 from io import BytesIO
@@ -25,6 +29,9 @@
 from iristrack.wire.messages import Message
 
 MOST_FRAME_BYTES = 16 * 1024 * 1024  # of a whole frame, its header included
+COMPRESS_OVER = 1024  # bytes of a body
+COMPRESSION_LEVEL = 1
+COMPRESSED = 0x8000  # of the schema version
 SCHEMA_FOLDER = Path(__file__).parent / "schemas"
 
 _LENGTH = struct.Struct(">I")
@@ -155,17 +162,22 @@
         """A message as a whole frame; raises `FrameTooLarge`, and `KeyError` for a type that is not registered."""
         kind = self._by_type[type(message)]
         body = self._codec(kind).encode(message)
-        length = _FEWEST_LENGTH + len(body)
-        if length > _MOST_LENGTH:
+        if _FEWEST_LENGTH + len(body) > _MOST_LENGTH:
             raise FrameTooLarge(f"a {kind.schema_name} holds {len(body)} bytes")
-        return _HEADER.pack(length, kind.number, kind.version) + body
+        version = kind.version
+        packed = zlib.compress(body, COMPRESSION_LEVEL) if len(body) > COMPRESS_OVER else body
+        if len(packed) < len(body):
+            version, body = version | COMPRESSED, packed
+        return _HEADER.pack(_FEWEST_LENGTH + len(body), kind.number, version) + body
 
     def decode(self, number: int, version: int, body: bytes) -> Message | None:
         """The message of a frame, None for a kind that is not known here; raises `SpoiltBody`."""
         kind = self._by_number.get(number)
         if kind is None:
             return None
-        return self._codec(kind).decode(version, body)
+        if version & COMPRESSED:
+            body = _unpacked(body)
+        return self._codec(kind).decode(version & ~COMPRESSED, body)
 
     def schemas(self, kind: MessageKind) -> list[dict]:
         """The schemas of all versions of a kind, the oldest first."""
@@ -241,6 +253,18 @@
         return message
 
 
+def _unpacked(body: bytes) -> bytes:
+    """A body as it was before its compression; raises `SpoiltBody`, also where it would grow beyond a frame."""
+    unpacking = zlib.decompressobj()
+    try:
+        whole = unpacking.decompress(body, MOST_FRAME_BYTES)
+    except zlib.error as fault:
+        raise SpoiltBody(f"not as zlib makes it: {fault}") from fault
+    if not unpacking.eof or unpacking.unused_data:
+        raise SpoiltBody("a compressed body that is cut, too long or followed by more")
+    return whole
+
+
 # ---- dataclasses to Avro records and back
 
 
--- a/iristrack/wire/connection.py
+++ b/iristrack/wire/connection.py
@@ -36,6 +36,7 @@
         self.on_close = on_close
         self.closed = False
         self.heard_at = clock()  # ns, when the peer last said anything
+        self.on_drained: Callable[[PeerConnection], None] | None = None  # called when all has been written
         self.sent_bytes = 0
         self.received_bytes = 0
         self._queue: deque[bytes] = deque()
@@ -50,6 +51,11 @@
         """Frames that could not be read."""
         return self._reader.skipped
 
+    @property
+    def queued(self) -> int:
+        """Bytes that wait to be written."""
+        return self._queued
+
     def send(self, message: Message) -> None:
         """Queue a message; a peer that does not read for too long loses the connection."""
         self.send_frame(encode(message))
@@ -102,6 +108,8 @@
         try:
             while self._queue and not self.closed:
                 self._send(self._next_bytes())
+                if not self._queue and self.on_drained is not None:
+                    self.on_drained(self)
             self._writing = None
         except (OSError, Cancelled):
             self._writing = None
--- a/tests/controlplane/peers.py
+++ b/tests/controlplane/peers.py
@@ -10,6 +10,8 @@
     def __init__(self) -> None:
         self.sent: list[Message] = []
         self.closed = False
+        self.queued = 0
+        self.on_drained = None
 
     def send(self, message: Message) -> None:
         self.send_frame(encode(message))
