Have the seeds agree on the member set with the other core machines before anything else

Cause: the member set was the three seeds alone. At the grown sites five core machines carry disks and two may be lost at once: two lost seeds left one vote of three. Change: a seed that formed gathers the core machines that report to it for 600 ms and proposes seeds and those as the register 'members', at a majority of the seeds; no other register is changed by a process that does not know the set, so there is never a second one; the machines that are no seeds recover into it (controlplane/founding.py). Ruled out: a change of sets under way (none is needed for this).

--- /dev/null
+++ b/iristrack/controlplane/founding.py
@@ -0,0 +1,64 @@
+"""The first member set: agreed on by the seeds once, before any other register is voted on.
+
+Only the seeds are known at the first start, and there may be more core machines. Each seed that formed waits a little
+for core machines that report to it, then proposes the seeds and those. The proposal is an ordinary change of the
+register `members` at a majority of the seeds, so that exactly one set comes of it, whoever proposes and whatever is
+cut. No other register is changed by a process that does not know this set: there is no second set, and none to change
+from. The machines that are not seeds recover into it from the others, as after the loss of a disk.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from iristrack.controlplane.changes import Change, Outcome
+from iristrack.controlplane.register_host import FOUNDED, RegisterHost
+from iristrack.register import Committed, Unchanged
+from iristrack.relay import topics
+from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.wire.messages import MembersValue
+from iristrack.wire.values import decode_value, encode_value
+
+NS_PER_MS = 1_000_000
+GATHER_NS = 600 * NS_PER_MS  # machines of one start are up within 300 ms of each other
+ROUND_NS = 800 * NS_PER_MS
+PAUSE_NS = 100 * NS_PER_MS
+
+
+def propose_members(members: tuple[str, ...]) -> Change:
+    """Have these be the members, unless a set was agreed on."""
+
+    def change(value: bytes) -> Outcome:
+        return Unchanged() if value else encode_value(MembersValue(FOUNDED, members))
+
+    return change
+
+
+class Founding:
+    """One seed's part in agreeing on the member set; ends when the set is known here."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        register: RegisterHost,
+        reporting: Callable[[], set[str]],
+        on_founded: Callable[[], None],
+    ) -> None:
+        """`reporting` names the core machines that are connected; starts with the next turn of the loop."""
+        self.scheduler = scheduler
+        self.register = register
+        self.reporting = reporting
+        self.on_founded = on_founded
+        scheduler.spawn("founding", self._run)
+
+    def _run(self) -> None:
+        self.scheduler.sleep(GATHER_NS)
+        while not self.register.founded:
+            proposed = tuple(sorted(set(self.register.members) | self.reporting()))
+            change = propose_members(proposed)
+            result = self.register.change(topics.MEMBERS, change, clock() + ROUND_NS)
+            if isinstance(result, Committed):
+                told = decode_value(result.value, MembersValue)
+                if told is not None:
+                    self.register.found(told.members, self.on_founded)
+            self.scheduler.sleep(PAUSE_NS)
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -11,11 +11,12 @@
 from iristrack.configuration.building import parse_configuration
 from iristrack.controlplane import changes
 from iristrack.controlplane.distribution import Distribution
+from iristrack.controlplane.founding import Founding
 from iristrack.controlplane.kept_prompts import KeptPrompts
 from iristrack.controlplane.list_poller import ListPoller
 from iristrack.controlplane.load_hub import LoadHub
 from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
-from iristrack.controlplane.register_host import RegisterHost
+from iristrack.controlplane.register_host import FOUNDED, RegisterHost
 from iristrack.controlplane.status import PeerBook, status_document
 from iristrack.controlplane.weights import WeightsDuty
 from iristrack.http1.serving import HttpServer
@@ -54,7 +55,6 @@
 STOP_NS = 300 * NS_PER_MS  # between SIGTERM and the end, for what is under way
 DISK_STOP_S = 1.0
 CORE_ROLE = "controlplane"
-FIRST_MEMBERS = 1  # sequence of the member set that the seeds form
 VALUE_TYPES = {
     topics.CONFIGURATION: ConfigurationValue,
     topics.VERSIONS: VersionsValue,
@@ -119,9 +119,9 @@
         self.distribution.on_learned.append(self.weights.on_update)
         self.distribution.on_learned.append(self._on_learned)
         if self.register.voting:
-            self._tell_members()
-        elif settings.bootstrap and self.address in self._seeds():
-            self.register.form(tuple(sorted(self._seeds())), self._tell_members)
+            self._begin_with_members()
+        elif self._is_founder:
+            self.register.form(tuple(sorted(self._seeds())), self._begin_with_members)
         self._follow_members()
         ListPoller(self.scheduler, settings.provider_api, self.distribution, self._is_first)
         self.scheduler.spawn("learner", self._learn_loop)
@@ -178,16 +178,32 @@
         servers = self.weights.servers if self.weights is not None else []
         return stores | {server.address for server in servers if server.service in engines}
 
+    @property
+    def _is_founder(self) -> bool:
+        return self.settings.bootstrap and self.address in self._seeds()
+
+    def _begin_with_members(self) -> None:
+        """This process votes: it tells the member set, or has the seeds agree on one first."""
+        if self.register.founded:
+            self._tell_members()
+        else:
+            Founding(self.scheduler, self.register, self._reporting_core, self._tell_members)
+
+    def _reporting_core(self) -> set[str]:
+        return {hello.address for _, hello in self.peer_book.open() if hello.role == CORE_ROLE}
+
     def _tell_members(self) -> None:
-        members = MembersValue(FIRST_MEMBERS, self.register.members)
+        members = MembersValue(FOUNDED, self.register.members)
         self.distribution.publish(Update(topics.MEMBERS, members.sequence, encode_value(members)))
         self._follow_members()
 
     def _on_learned(self, update: Update) -> None:
-        if update.topic != topics.MEMBERS or self.register.voting or self.settings.bootstrap:
+        told = decode_value(update.value, MembersValue) if update.topic == topics.MEMBERS else None
+        if told is None or self.address not in told.members:
             return
-        told = decode_value(update.value, MembersValue)
-        if told is not None and self.address in told.members:
+        if self.register.voting:
+            self.register.found(told.members, self._tell_members)
+        elif not self._is_founder:
             self.register.recover(told.members, self._tell_members)
             self._follow_members()
 
--- a/iristrack/controlplane/register_host.py
+++ b/iristrack/controlplane/register_host.py
@@ -24,6 +24,7 @@
     Unavailable,
 )
 from iristrack.register.acceptor import Outcome
+from iristrack.relay import topics
 from iristrack.runtime.scheduler import Scheduler, Task, Timer, clock
 from iristrack.store.cells import BlobRecord, IdentityRecord, OpenedCells
 from iristrack.store.sync_thread import SyncThread
@@ -31,6 +32,8 @@
 from iristrack.wire.values import decode_value, encode_value
 
 MEMBERS_BLOB = "members"
+UNFOUNDED = 0  # sequence of the member set that the seeds begin with
+FOUNDED = 1  # and of the one that they have agreed on
 Reply = Callable[[Message], None]
 SendToMember = Callable[[str, Message], None]
 
@@ -68,6 +71,7 @@
         self.rng = random.Random()
         self.identity = ProposerIdentity(f"{name}/{secrets.token_hex(6)}")
         self.members: tuple[str, ...] = ()
+        self.founded = False  # is the member set the one that was agreed on?
         self.acceptor: Acceptor | None = None
         self._running: list[_Running] = []
         self._opened = opened
@@ -75,6 +79,7 @@
         members = decode_value(opened.blobs.get(MEMBERS_BLOB, b""), MembersValue)
         if opened.identity is not None and members is not None:
             self.members = members.members
+            self.founded = members.sequence >= FOUNDED
             cells = {key: Cell(r.promised, r.accepted, r.value) for key, r in opened.cells.items()}
             self.acceptor = Acceptor(name, opened.identity.incarnation, cells, True, keys=keys)
 
@@ -91,9 +96,23 @@
     # ---- how an acceptor comes to vote
 
     def form(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
-        """The first start of the whole system: the member set is the seeds, and this is one of them."""
+        """The first start of the whole system: this is one of the seeds, which vote on the member set first."""
         incarnation = secrets.token_hex(8)
-        self._begin(members, incarnation, (), on_done)
+        self._begin(MembersValue(UNFOUNDED, members), incarnation, (), on_done)
+
+    def found(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
+        """The seeds have agreed on the member set: every other register is voted on by these alone."""
+        if self.founded:
+            return
+        blob = BlobRecord(MEMBERS_BLOB, encode_value(MembersValue(FOUNDED, members)))
+
+        def written(ok: bool) -> None:
+            if ok and not self.founded:
+                self.members, self.founded = members, True
+                self.log.info("founded", members=",".join(members))
+                on_done()
+
+        self.sync.submit([blob], written)
 
     def recover(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
         """The disk came back empty: read from the others, then vote under a new incarnation."""
@@ -106,7 +125,7 @@
         self._running.append(running)
 
         def finished(recovered: Recovered) -> None:
-            self._begin(members, incarnation, recovered.records, on_done)
+            self._begin(MembersValue(FOUNDED, members), incarnation, recovered.records, on_done)
 
         running.result = finished
         self.log.info("recovering", members=",".join(members))
@@ -114,12 +133,12 @@
 
     def _begin(
         self,
-        members: tuple[str, ...],
+        members: MembersValue,
         incarnation: str,
         records: tuple[CellRecord, ...],
         on_done: Callable[[], None],
     ) -> None:
-        blob = BlobRecord(MEMBERS_BLOB, encode_value(MembersValue(1, members)))
+        blob = BlobRecord(MEMBERS_BLOB, encode_value(members))
         identity = IdentityRecord(incarnation, self.sync_node)
 
         def written(ok: bool) -> None:
@@ -127,11 +146,11 @@
             if not ok:
                 self.log.error("no vote: the disk refused the first records")
                 return
-            self.members = members
+            self.members, self.founded = members.members, members.sequence >= FOUNDED
             cells = {r.key: Cell(r.promised, r.accepted, r.value) for r in records}
             self.acceptor = Acceptor(self.name, incarnation, cells, True, keys=self.keys)
             self.identity.incarnations[self.name] = self.acceptor.incarnation
-            self.log.info("voting", incarnation=incarnation, members=",".join(members))
+            self.log.info("voting", incarnation=incarnation, members=",".join(members.members))
             on_done()
 
         self.sync.submit([identity, blob, *records], written)
@@ -178,7 +197,7 @@
 
     def change(self, key: str, change: Change, deadline: int, pace: Pace | None = None) -> ProposerResult:
         """Change a register from a task of the loop; returns when it has ended."""
-        if not self.members:
+        if not self.members or not (self.founded or key == topics.MEMBERS):
             return Unavailable(in_doubt=False)
         proposer = Proposer(self.identity, key, self.members, change, self.rng, deadline, pace)
         running = _Running(proposer)
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -137,7 +137,7 @@
 
 
 class Core:
-    def __init__(self) -> None:
+    def __init__(self, founded: bool = True) -> None:
         self.failures: list[str] = []
         self.scheduler = Scheduler(lambda text: self.failures.append(f"{text}\n{traceback.format_exc()}"))
         self.cut: set[str] = set()
@@ -155,13 +155,14 @@
                 Log(),
             )
             host.rng = random.Random(name)
-            host.form(MEMBERS, lambda: None)
+            on_formed = (lambda host=host: host.found(MEMBERS, lambda: None)) if founded else lambda: None
+            host.form(MEMBERS, on_formed)
             self.hosts[name] = host
         self.apis = [make_api(host, self.told.append) for host in self.hosts.values()]
-        self.run(self._wait_for_votes)
+        self.run(lambda: self._wait_for_votes(founded))
 
-    def _wait_for_votes(self) -> None:
-        while not all(host.voting for host in self.hosts.values()):
+    def _wait_for_votes(self, founded: bool) -> None:
+        while not all(host.founded if founded else host.voting for host in self.hosts.values()):
             self.scheduler.call_at(clock(), self.scheduler.current.wake)
             self.scheduler.wait(-1, 0, None)
 
--- a/tests/system/test_core_losses.py
+++ b/tests/system/test_core_losses.py
@@ -179,3 +179,29 @@
     restart(others)
     assert system.operator.replace(version(2), 1).status == 200
     wait_served(system, 2)
+
+
+def test_five_of_which_two_seeds_lose_their_disks_at_once(new_system) -> None:
+    """The core machines that are not seeds are members as well: three of five remember what was acknowledged."""
+    system = new_system(cores=5, edges=1)
+    start_usual(system)
+    for core in system.cores:
+        wait_voting(core, 1)
+    seeds = [core for core in system.cores if core.control in core.settings["seed_nodes"]]
+    others = [core for core in system.cores if core not in seeds]
+    assert (len(seeds), len(others)) == (3, 2)
+    for core in seeds[:2]:
+        core.kill()
+        core.wipe_disk()
+    assert system.operator.replace(version(2), 1).status == 200
+    for core in [*seeds[2:], *others]:
+        core.kill()
+    restart([*seeds[2:], *others])
+    assert newest(system) == version(2)
+    restart(seeds[:2])
+    for core in seeds[:2]:
+        wait_voting(core, 2)
+    for core in others:  # another two, which only those that recovered can stand in for
+        core.kill()
+    assert system.operator.replace(version(3), 2).status == 200
+    wait_served(system, 3)
