--- a/iristrack/controlplane/founding.py
+++ b/iristrack/controlplane/founding.py
@@ -1,10 +1,11 @@
 """The first member set: agreed on by the seeds once, before any other register is voted on.
 
-Only the seeds are known at the first start, and there may be more core machines. Each seed that formed waits a little
-for core machines that report to it, then proposes the seeds and those. The proposal is an ordinary change of the
-register `members` at a majority of the seeds, so that exactly one set comes of it, whoever proposes and whatever is
+Only the seeds are known at the first start, and there may be more core machines. Each seed waits a little for core
+machines that report to it, then votes, and proposes the seeds and those machines. The proposal is an ordinary change of
+the register `members` at a majority of the seeds, so that exactly one set comes of it, whoever proposes and whatever is
 cut. No other register is changed by a process that does not know this set: there is no second set, and none to change
-from. The machines that are not seeds recover into it from the others, as after the loss of a disk.
+from. The machines that are not seeds recover into it from the others, as after the loss of a disk. So does a seed that
+is told of a set while it waits: its disk was lost, and the settings are those of the first start.
 """
 
 from __future__ import annotations
@@ -35,30 +36,37 @@
 
 
 class Founding:
-    """One seed's part in agreeing on the member set; ends when the set is known here."""
+    """One seed's part in agreeing on the member set; ends when the set is known here, or was known elsewhere before."""
 
     def __init__(
         self,
         scheduler: Scheduler,
         register: RegisterHost,
+        seeds: tuple[str, ...],
         reporting: Callable[[], set[str]],
         on_founded: Callable[[], None],
     ) -> None:
         """`reporting` names the core machines that are connected; starts with the next turn of the loop."""
         self.scheduler = scheduler
         self.register = register
+        self.seeds = seeds
         self.reporting = reporting
         self.on_founded = on_founded
         scheduler.spawn("founding", self._run)
 
     def _run(self) -> None:
         self.scheduler.sleep(GATHER_NS)
+        if self.register.recovering:
+            return  # there is a set already: this is no first start, whatever the settings say
+        if not self.register.voting:
+            self.register.form(self.seeds, lambda: None)
         while not self.register.founded:
-            proposed = tuple(sorted(set(self.register.members) | self.reporting()))
-            change = propose_members(proposed)
-            result = self.register.change(topics.MEMBERS, change, clock() + ROUND_NS)
-            if isinstance(result, Committed):
-                told = decode_value(result.value, MembersValue)
-                if told is not None:
-                    self.register.found(told.members, self.on_founded)
+            self._propose()
             self.scheduler.sleep(PAUSE_NS)
+
+    def _propose(self) -> None:
+        proposed = tuple(sorted({*self.seeds, *self.reporting()}))
+        result = self.register.change(topics.MEMBERS, propose_members(proposed), clock() + ROUND_NS)
+        told = decode_value(result.value, MembersValue) if isinstance(result, Committed) else None
+        if told is not None:
+            self.register.found(told.members, self.on_founded)
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -118,10 +118,11 @@
         )
         self.distribution.on_learned.append(self.weights.on_update)
         self.distribution.on_learned.append(self._on_learned)
-        if self.register.voting:
-            self._begin_with_members()
-        elif self._is_founder:
-            self.register.form(tuple(sorted(self._seeds())), self._begin_with_members)
+        if self.register.founded:
+            self._tell_members()
+        elif self.register.voting or self._is_founder:
+            seeds = self.register.members or tuple(sorted(self._seeds()))
+            Founding(self.scheduler, self.register, seeds, self._reporting_core, self._tell_members)
         self._follow_members()
         ListPoller(self.scheduler, settings.provider_api, self.distribution, self._is_first)
         self.scheduler.spawn("learner", self._learn_loop)
@@ -182,13 +183,6 @@
     def _is_founder(self) -> bool:
         return self.settings.bootstrap and self.address in self._seeds()
 
-    def _begin_with_members(self) -> None:
-        """This process votes: it tells the member set, or has the seeds agree on one first."""
-        if self.register.founded:
-            self._tell_members()
-        else:
-            Founding(self.scheduler, self.register, self._reporting_core, self._tell_members)
-
     def _reporting_core(self) -> set[str]:
         return {hello.address for _, hello in self.peer_book.open() if hello.role == CORE_ROLE}
 
@@ -203,7 +197,7 @@
             return
         if self.register.voting:
             self.register.found(told.members, self._tell_members)
-        elif not self._is_founder:
+        else:
             self.register.recover(told.members, self._tell_members)
             self._follow_members()
 
--- a/iristrack/controlplane/register_host.py
+++ b/iristrack/controlplane/register_host.py
@@ -76,6 +76,7 @@
         self._running: list[_Running] = []
         self._opened = opened
         self._recovering = False
+        self._forming = False
         members = decode_value(opened.blobs.get(MEMBERS_BLOB, b""), MembersValue)
         if opened.identity is not None and members is not None:
             self.members = members.members
@@ -88,6 +89,11 @@
         """Does this process vote?"""
         return self.acceptor is not None and self.acceptor.voting
 
+    @property
+    def recovering(self) -> bool:
+        """Does it read from the others what its lost disk held?"""
+        return self._recovering
+
     @property
     def incarnation(self) -> str:
         """What this process's acceptor tells of itself; empty while it has none."""
@@ -97,6 +103,7 @@
 
     def form(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
         """The first start of the whole system: this is one of the seeds, which vote on the member set first."""
+        self._forming = True
         incarnation = secrets.token_hex(8)
         self._begin(MembersValue(UNFOUNDED, members), incarnation, (), on_done)
 
@@ -116,7 +123,7 @@
 
     def recover(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
         """The disk came back empty: read from the others, then vote under a new incarnation."""
-        if self._recovering or self.voting:
+        if self._recovering or self._forming or self.voting:
             return
         self._recovering = True
         self.members = members
@@ -142,7 +149,7 @@
         identity = IdentityRecord(incarnation, self.sync_node)
 
         def written(ok: bool) -> None:
-            self._recovering = False
+            self._recovering = self._forming = False
             if not ok:
                 self.log.error("no vote: the disk refused the first records")
                 return
--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from iristrack.dataplane.attempts import Attempt, AttemptFailed, DeadlinePassed, Verdict, verdict
+from iristrack.dataplane.client_answer import ClientAnswer
 from iristrack.dataplane.clients import ClientConnection, ClientLeft
 from iristrack.dataplane.events import EventSplitter, EventTooLarge
+from iristrack.dataplane.prompt_parts import CacheUse, PromptParts
 from iristrack.dataplane.requests import ClientRequest, Rejected, read_request
 from iristrack.dataplane.state import PlaneState
 from iristrack.http1 import messages as http
 from iristrack.http1.messages import header_text
-from iristrack.placement.choice import Prompt, choose, pieces_to_read
-from iristrack.placement.engines import cache_salt, serving, store_of
+from iristrack.placement.choice import choose, pieces_to_read
+from iristrack.placement.engines import serving
 from iristrack.placement.servers import Server
-from iristrack.prefix_index.parts import shared_parts
 from iristrack.runtime.scheduler import clock
 
 NS_PER_MS = 1_000_000
@@ -22,22 +21,11 @@
 RETRY_AFTER_S = 0.4  # told to a client whose request has not run
 SILENT_NS = 1500 * NS_PER_MS  # without a word from a server, at the end of which it counts as failed
 LEAST_LEFT_NS = 20 * NS_PER_MS  # with less time left nothing is sent any more
-LEAST_FETCH_TOKENS = 64  # fewer are read faster than they are moved
 SHORT_OUTPUT_TOKENS = 32  # an answer of so many tokens is done soon
 OLD_WEIGHTS_SHARE = 0.75  # of `version_ms` after which no request is sent to servers on older weights
 WHOLE_ANSWER = 256 * 1024  # a longer one is passed on in pieces
 
 
-@dataclass(frozen=True, slots=True)
-class CacheUse:
-    """Where a request finds and leaves the parts of its prompt."""
-
-    revision: int
-    salt: str
-    fetch_from: str | None
-    save_to: str | None
-
-
 class Exchange:
     """Finds a server, passes the answer on, and goes on elsewhere where that is allowed."""
 
@@ -48,14 +36,13 @@
         self.plane = plane
         self.client = client
         self.request = request
-        self.keep = keep
+        self.answer = ClientAnswer(client, keep, request.version)
         self.tried: list[Server] = []  # servers to which it was sent
         self.failed_at: set[str] = set()
         self.may_have_run = False
-        self.begun = False  # has the client got a part of the answer?
         self.last_event_id = request.last_event_id
         self.service = self._draw_service()
-        self._covered: dict[str, dict[str, int]] = {}  # by salt, as of this attempt
+        self.prompt = PromptParts(plane, request, self.service)
         self._unread: int = 0  # pieces that the attempt's server still has to read
 
     def _draw_service(self) -> str:
@@ -93,7 +80,7 @@
     def _next_server(self) -> Server | None:
         """The server for the next attempt; None where there is none, or it may not be sent again."""
         now = clock()
-        self._covered.clear()
+        self.prompt.look_again()
         if self.may_have_run and not self.request.idempotent:
             return None
         if self.request.hold_until - now < LEAST_LEFT_NS:
@@ -106,28 +93,21 @@
         return server
 
     def _give_up(self) -> None:
-        if self.begun:
-            self._break_off()
+        if self.answer.begun:
+            self.answer.break_off()
         elif self.may_have_run:
             self.plane.counters.failed += 1
             self._fail(502, b"the server broke off\n")
         else:
             self.plane.counters.refused += 1
             retry_after = b"Retry-After: %.3f\r\n" % RETRY_AFTER_S
-            self._answer(503, b"not run: no server can take it now\n", retry_after)
+            self.answer.whole(503, b"not run: no server can take it now\n", retry_after)
 
     def _fail(self, status: int, body: bytes) -> None:
-        if self.begun:
-            self._break_off()
+        if self.answer.begun:
+            self.answer.break_off()
         else:
-            self._answer(status, body, b"")
-
-    def _answer(self, status: int, body: bytes, lines: bytes) -> None:
-        self.client.write(http.response(status, body, lines, close=not self.keep))
-
-    def _break_off(self) -> None:
-        """End the connection so that the answer does not look complete."""
-        self.client.broken = True
+            self.answer.whole(status, body, b"")
 
     # ---- which server
 
@@ -140,7 +120,7 @@
             usable = self._on_current_weights(usable, model, now)
         if self.request.output_tokens > SHORT_OUTPUT_TOKENS:
             usable = [s for s in usable if not s.preparing] or usable
-        return choose(usable, self.request.key, self._prompt_at, self.plane.rng)
+        return choose(usable, self.request.key, self.prompt.at, self.plane.rng)
 
     def _on_current_weights(self, servers: list[Server], model: str, now: int) -> list[Server]:
         """Servers that may begin requests: soon after a new revision was acknowledged only those that hold it."""
@@ -151,54 +131,6 @@
         least = version.revision if now >= version.learned_at + grace else 0
         return serving(servers, model, least)
 
-    def _salt(self, server: Server) -> str:
-        tenant = self.request.tenant
-        isolated = tenant.label if tenant is not None and tenant.isolated else None
-        model = self.request.model or ""
-        return cache_salt(model, server.revisions.get(model, 0), isolated)
-
-    def _prompt_at(self, server: Server) -> Prompt:
-        """What the server would have to do with the prompt."""
-        request = self.request
-        if not request.parts or request.model is None:
-            return Prompt(request.prompt_tokens, 0, 0)
-        kept = self._coverage(self._salt(server))
-        own = kept.get(server.address, 0)
-        elsewhere = max((tokens for holder, tokens in kept.items() if holder != server.address), default=0)
-        return Prompt(request.prompt_tokens, own, elsewhere)
-
-    def _coverage(self, salt: str) -> dict[str, int]:
-        """How much of the prompt each server and store keeps under the salt."""
-        known = self._covered.get(salt)
-        if known is None:
-            request = self.request
-            stores = [store.address for store in self.plane.active.stores]
-            servers = [server.address for server in self.plane.servers.of_service(self.service)]
-            known = self.plane.index.coverage(salt, request.model, request.parts, [*servers, *stores])
-            self._covered[salt] = known
-        return known
-
-    def _cache_use(self, server: Server) -> CacheUse | None:
-        """What the request is told of kept prompts; None where it has no prompt."""
-        request = self.request
-        if request.model is None:
-            return None
-        salt = self._salt(server)
-        revision = server.revisions.get(request.model, 0)
-        shared = shared_parts(request.parts)
-        if not shared:
-            return CacheUse(revision, salt, None, None)
-        stores = [store.address for store in self.plane.active.stores]
-        kept = dict(self._coverage(salt))
-        own = kept.pop(server.address, 0)
-        source = max(kept, key=kept.__getitem__, default=None)
-        if source is not None and kept[source] < own + LEAST_FETCH_TOKENS:
-            source = None
-        wanted = sum(part.tokens for part in shared)
-        saved = any(kept[store] >= wanted for store in stores)
-        save_to = None if saved else store_of(request.key, stores)
-        return CacheUse(revision, salt, source, save_to)
-
     # ---- one attempt
 
     def _try(self, server: Server) -> bool:
@@ -207,9 +139,9 @@
         attempt = Attempt(plane.scheduler, plane.links, server, self.client, request.hold_until)
         if self.tried:
             plane.counters.retries += 1
-        cache = self._cache_use(server)
+        cache = self.prompt.cache_use(server)
         began = clock()
-        self._unread = pieces_to_read(self._prompt_at(server))
+        self._unread = pieces_to_read(self.prompt.at(server))
         server.began(self._unread)
         try:
             attempt.send(self._encode(server, cache))
@@ -256,7 +188,7 @@
         if self.last_event_id is not None:
             parts.append(b"Last-Event-Id: %d\r\n" % self.last_event_id)
         if cache is not None:
-            parts.append(_cache_lines(cache))
+            parts.append(cache.header_lines())
         return http.request(request.method, request.target, b"".join(parts), request.body)
 
     def _take_answer(self, attempt: Attempt, server: Server, cache: CacheUse | None) -> bool:
@@ -320,34 +252,21 @@
                 return
         head = attempt.head
         attempt.finish()
-        if self.begun:  # a stream that went on elsewhere and failed there
-            self._break_off()
+        if self.answer.begun:  # a stream that went on elsewhere and failed there
+            self.answer.break_off()
             return
-        self.client.write(
-            http.response(head.status, bytes(body), head.passed_on(frozenset()), close=not self.keep)
-        )
+        self.answer.whole(head.status, bytes(body), head.passed_on(frozenset()))
 
     def _pass_long(self, attempt: Attempt, first: bytes, pieces) -> None:
-        self._begin_answer(attempt.head)
+        self.answer.begin(attempt.head)
         try:
-            self.client.write(http.chunk(first))
+            self.answer.piece(first)
             for piece in pieces:
-                if piece:
-                    self.client.write(http.chunk(piece))
+                self.answer.piece(piece)
         except (AttemptFailed, DeadlinePassed):
-            self._break_off()
+            self.answer.break_off()
             return
-        self.client.write(http.LAST_CHUNK)
-
-    def _begin_answer(self, head: http.Head) -> None:
-        closing = b"" if self.keep else b"Connection: close\r\n"
-        lines = head.passed_on(frozenset())
-        reason = http.REASONS.get(head.status, b"OK")
-        self.client.write(
-            b"HTTP/1.1 %d %b\r\n%b%bTransfer-Encoding: chunked\r\n\r\n"
-            % (head.status, reason, lines, closing)
-        )
-        self.begun = True
+        self.answer.end()
 
     def _pass_events(self, attempt: Attempt, server: Server) -> None:
         """Pass on whole events as they come; those that the client has from an earlier attempt are left out."""
@@ -362,34 +281,23 @@
                     server.saw_revision(self.request.model, event.revision)
             if not data:
                 continue
-            if first and not self.begun:
-                self._begin_answer(attempt.head)
+            if first and not self.answer.begun:
+                self.answer.begin(attempt.head)
             first = False
-            self.client.write(http.chunk(data))
+            self.answer.piece(data)
             self.last_event_id = next(
                 (e.id for e in reversed(events) if e.id is not None), self.last_event_id
             )
         if splitter.rest:
             raise AttemptFailed("the stream ends inside an event", ran=True)
-        if not self.begun:
-            self._begin_answer(attempt.head)
-        self.client.write(http.LAST_CHUNK)
+        if not self.answer.begun:
+            self.answer.begin(attempt.head)
+        self.answer.end()
 
     def _is_next(self, event_id: int | None) -> bool:
         return event_id is None or self.last_event_id is None or event_id > self.last_event_id
 
 
-def _cache_lines(cache: CacheUse) -> bytes:
-    lines = [b"Cache-Salt: %b\r\n" % header_text(cache.salt)]
-    if cache.revision:
-        lines.append(b"Expect-Version: %d\r\n" % cache.revision)
-    if cache.fetch_from is not None:
-        lines.append(b"Kv-Fetch: %b\r\n" % cache.fetch_from.encode("latin-1"))
-    if cache.save_to is not None:
-        lines.append(b"Kv-Save: %b\r\n" % cache.save_to.encode("latin-1"))
-    return b"".join(lines)
-
-
 def answer_request(plane: PlaneState, client: ClientConnection, message: http.Message, arrived: int) -> bool:
     """Answer one request; whether the client's connection goes on."""
     keep = message.head.keeps_alive and not plane.draining and not client.listener.closing
@@ -402,5 +310,6 @@
         keep = keep and rejection.status != 400  # what cannot be read may be followed by anything
         client.write(http.response(rejection.status, rejection.reason.encode() + b"\n", b"", close=not keep))
         return keep
-    Exchange(plane, client, request, keep).run()
-    return keep and not client.broken and not client.left
+    exchange = Exchange(plane, client, request, keep)
+    exchange.run()
+    return exchange.answer.keep and not client.broken and not client.left
--- /dev/null
+++ b/iristrack/dataplane/prompt_parts.py
@@ -0,0 +1,102 @@
+"""What is kept of one request's prompt, where, and what the chosen server is told of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from iristrack.dataplane.requests import ClientRequest
+from iristrack.dataplane.state import PlaneState
+from iristrack.http1.messages import header_text
+from iristrack.placement.choice import Prompt
+from iristrack.placement.engines import cache_salt, store_of
+from iristrack.placement.servers import Server
+from iristrack.prefix_index.parts import shared_parts
+
+LEAST_FETCH_TOKENS = 64  # fewer are read faster than they are moved
+
+
+@dataclass(frozen=True, slots=True)
+class CacheUse:
+    """Where a request finds and leaves the parts of its prompt."""
+
+    revision: int
+    salt: str
+    fetch_from: str | None
+    save_to: str | None
+
+    def header_lines(self) -> bytes:
+        """What the server is told."""
+        lines = [b"Cache-Salt: %b\r\n" % header_text(self.salt)]
+        if self.revision:
+            lines.append(b"Expect-Version: %d\r\n" % self.revision)
+        if self.fetch_from is not None:
+            lines.append(b"Kv-Fetch: %b\r\n" % self.fetch_from.encode("latin-1"))
+        if self.save_to is not None:
+            lines.append(b"Kv-Save: %b\r\n" % self.save_to.encode("latin-1"))
+        return b"".join(lines)
+
+
+class PromptParts:
+    """One request's prompt at the servers and stores of its service."""
+
+    def __init__(self, plane: PlaneState, request: ClientRequest, service: str) -> None:
+        """Nothing is looked up yet."""
+        self.plane = plane
+        self.request = request
+        self.service = service
+        self._covered: dict[str, dict[str, int]] = {}  # by salt, kept tokens by holder
+
+    def look_again(self) -> None:
+        """Another attempt begins: what is kept may have changed."""
+        self._covered.clear()
+
+    def at(self, server: Server) -> Prompt:
+        """What the server would have to do with the prompt."""
+        request = self.request
+        if not request.parts or request.model is None:
+            return Prompt(request.prompt_tokens, 0, 0)
+        kept = self._coverage(self._salt(server))
+        own = kept.get(server.address, 0)
+        elsewhere = max((tokens for holder, tokens in kept.items() if holder != server.address), default=0)
+        return Prompt(request.prompt_tokens, own, elsewhere)
+
+    def cache_use(self, server: Server) -> CacheUse | None:
+        """What the request is told of kept prompts; None where it names no model."""
+        request = self.request
+        if request.model is None:
+            return None
+        salt = self._salt(server)
+        revision = server.revisions.get(request.model, 0)
+        shared = shared_parts(request.parts)
+        if not shared:
+            return CacheUse(revision, salt, None, None)
+        stores = self._stores()
+        kept = dict(self._coverage(salt))
+        own = kept.pop(server.address, 0)
+        source = max(kept, key=kept.__getitem__, default=None)
+        if source is not None and kept[source] < own + LEAST_FETCH_TOKENS:
+            source = None
+        wanted = sum(part.tokens for part in shared)
+        saved = any(kept[store] >= wanted for store in stores)
+        save_to = None if saved else store_of(request.key, stores)
+        return CacheUse(revision, salt, source, save_to)
+
+    def _salt(self, server: Server) -> str:
+        tenant = self.request.tenant
+        isolated = tenant.label if tenant is not None and tenant.isolated else None
+        model = self.request.model or ""
+        return cache_salt(model, server.revisions.get(model, 0), isolated)
+
+    def _coverage(self, salt: str) -> dict[str, int]:
+        """How much of the prompt each server and store keeps under the salt."""
+        known = self._covered.get(salt)
+        if known is None:
+            request = self.request
+            servers = [server.address for server in self.plane.servers.of_service(self.service)]
+            holders = [*servers, *self._stores()]
+            known = self.plane.index.coverage(salt, request.model, request.parts, holders)
+            self._covered[salt] = known
+        return known
+
+    def _stores(self) -> list[str]:
+        return [store.address for store in self.plane.active.stores]
--- a/iristrack/dataplane/requests.py
+++ b/iristrack/dataplane/requests.py
@@ -138,12 +138,20 @@
     if not active.tenants.required:
         return None
     scheme, _, key = fields.get(b"authorization", b"").partition(b" ")
-    tenant = active.tenants.holder(key.strip().decode("latin-1")) if scheme.lower() == b"bearer" else None
+    tenant = active.tenants.holder(_key_text(key.strip())) if scheme.lower() == b"bearer" else None
     if tenant is None and not route.public:
         raise Rejected(401, "an unknown key")
     return tenant
 
 
+def _key_text(key: bytes) -> str:
+    """A key as the configuration, which is UTF-8, writes it."""
+    try:
+        return key.decode("utf-8")
+    except UnicodeDecodeError:
+        return key.decode("latin-1")
+
+
 def _wait_ms(fields: dict[bytes, bytes]) -> float:
     told = fields.get(b"x-iristrack-time-left-ms")
     if told is None:
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -60,6 +60,37 @@
     assert (answer.status, rest.end, rest.raw) == (200, "closed", b"")
 
 
+def older(prefix: str) -> bytes:
+    """The request of a client that knows no chunks."""
+    return asking(prefix, lines=b"Connection: keep-alive\r\n").replace(b" HTTP/1.1\r\n", b" HTTP/1.0\r\n")
+
+
+def ask_and_read_to_the_end(stand: Stand, request: bytes) -> Received:
+    def call() -> Received:
+        client = Client(stand)
+        client.send(request)
+        return client.receive()
+
+    return stand.run(call)[0]
+
+
+@pytest.mark.parametrize("prefix", ["safe", "stream"])
+def test_a_client_that_knows_no_chunks_gets_none_and_the_end_of_the_connection(
+    stand: Stand, prefix: str
+) -> None:
+    stand.serve(stream(1, 2) if prefix == "stream" else echo)
+    answer = ask_and_read_to_the_end(stand, older(prefix))
+    assert answer.raw.startswith(b"HTTP/1.1 200 OK\r\n")
+    assert b"chunked" not in answer.raw and b"Connection: close\r\n" in answer.raw
+    assert answer.raw.endswith(b"\r\n\r\n" + (event(1) + event(2) if prefix == "stream" else b"a1"))
+
+
+def test_a_stream_without_chunks_that_breaks_off_is_reset(stand: Stand) -> None:
+    stand.serve(lambda conversation: (conversation.send(stream(1, 3)[:-30]), conversation.reset()))
+    answer = ask_and_read_to_the_end(stand, older("stream"))
+    assert (answer.end, answer.complete) == ("reset", False)
+
+
 def test_a_rejected_request_leaves_the_connection_as_it_is(stand: Stand) -> None:
     stand.serve(echo)
     answers = talk(stand, asking("nowhere"), asking("safe", "a2"))
--- a/tests/dataplane/test_request_lines.py
+++ b/tests/dataplane/test_request_lines.py
@@ -129,6 +129,15 @@
     assert server.requests == []
 
 
+@pytest.mark.parametrize("spelling", ["utf-8", "latin-1"])
+def test_a_key_may_hold_letters_beyond_ascii(stand: Stand, spelling: str) -> None:
+    stand.configure(document(tenants=[{"label": "north", "api_keys": ["kl\u00fc\u00e7"]}]))
+    server = stand.serve(SOUND)
+    line = b"Authorization: Bearer " + "kl\u00fc\u00e7".encode(spelling) + b"\r\n"
+    assert stand.ask(asking("safe", lines=line)).status == 200
+    assert server.header(b"x-iristrack-tenant") == b"north"
+
+
 @pytest.mark.parametrize(
     ("lines", "tenant"), [(b"", None), (key_line("x"), None), (key_line("key-n"), b"north")]
 )
--- a/tests/system/test_core_losses.py
+++ b/tests/system/test_core_losses.py
@@ -181,6 +181,18 @@
     wait_served(system, 2)
 
 
+def test_a_seed_without_its_disk_whose_settings_are_those_of_the_first_start_recovers(system: System) -> None:
+    assert system.operator.replace(version(2), 1).status == 200
+    first = system.cores[0]
+    first.kill()
+    first.wipe_disk()
+    first.change_settings(bootstrap=True)
+    first.start()
+    wait_voting(first, 2)
+    assert first.log().count("event=recovering") == 1
+    assert newest(system, first) == version(2)
+
+
 def test_five_of_which_two_seeds_lose_their_disks_at_once(new_system) -> None:
     """The core machines that are not seeds are members as well: three of five remember what was acknowledged."""
     system = new_system(cores=5, edges=1)
