--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -49,7 +49,7 @@
 
 @pytest.mark.parametrize(
     ("scenario", "seeds"),
-    [(SMALL, range(4)), (HELD_UP, range(2)), (RELAYS_CUT, range(2))],
+    [(SMALL, range(5)), (HELD_UP, range(2)), (RELAYS_CUT, range(2))],
     ids=["all", "held_up", "relays_cut"],
 )
 def test_no_seed_violates_the_rules(scenario: Scenario, seeds: range) -> None:
--- a/tests/relay/test_tree.py
+++ b/tests/relay/test_tree.py
@@ -87,7 +87,7 @@
 
 
 @given(st.integers(3, 120), st.integers(0, 119))
-@settings(max_examples=20)
+@settings(max_examples=30)
 def test_a_loss_moves_only_the_children_of_the_one_lost_and_one_node_a_level(size: int, lost: int) -> None:
     members = [sidecar(index) for index in range(size)]
     gone = members.pop(lost % size)
