Have core machines that are no seeds vote at once when the seeds have named them

Result: 190 tests of the CLI, the core's losses and the first configuration pass, one new: a seed that starts when the others have agreed.

--- a/iristrack/cli/system_commands.py
+++ b/iristrack/cli/system_commands.py
@@ -92,6 +92,7 @@
         ("zone", status.zone),
         ("inner address", status.address),
         ("voting", status.voting),
+        ("members agreed", status.founded),
         ("incarnation", status.incarnation),
         ("members", members),
         ("configuration", configuration),
--- a/iristrack/controlplane/founding.py
+++ b/iristrack/controlplane/founding.py
@@ -1,11 +1,12 @@
 """The first member set: agreed on by the seeds once, before any other register is voted on.
 
-Only the seeds are known at the first start, and there may be more core machines. Each seed waits a little for core
-machines that report to it, then votes, and proposes the seeds and those machines. The proposal is an ordinary change of
-the register `members` at a majority of the seeds, so that exactly one set comes of it, whoever proposes and whatever is
-cut. No other register is changed by a process that does not know this set: there is no second set, and none to change
-from. The machines that are not seeds recover into it from the others, as after the loss of a disk. So does a seed that
-is told of a set while it waits: its disk was lost, and the settings are those of the first start.
+Only the seeds are known at the first start, and there may be more core machines. Each seed waits a little for word of a
+set, votes, waits for core machines that report to it, and proposes the seeds and those machines. The proposal is an
+ordinary change of the register `members` at a majority of the seeds, so that exactly one set comes of it, whoever
+proposes and whatever is cut. No other register is changed by a process that does not know this set: there is no second
+set, and none to change from. The machines that are not seeds have never voted, and do so from then on. A seed that is
+told of a set while it waits recovers from the others: its disk may have been lost, and the settings still be those of
+the first start.
 """
 
 from __future__ import annotations
@@ -21,7 +22,10 @@
 from iristrack.wire.values import decode_value, encode_value
 
 NS_PER_MS = 1_000_000
-GATHER_NS = 600 * NS_PER_MS  # machines of one start are up within 300 ms of each other
+HEAR_NS = 200 * NS_PER_MS  # for word of a set that there is already, before this seed votes as a new one
+GATHER_NS = (
+    400 * NS_PER_MS
+)  # more, for machines to report: those of one start are up within 300 ms of each other
 ROUND_NS = 800 * NS_PER_MS
 PAUSE_NS = 100 * NS_PER_MS
 
@@ -55,11 +59,12 @@
         scheduler.spawn("founding", self._run)
 
     def _run(self) -> None:
-        self.scheduler.sleep(GATHER_NS)
+        self.scheduler.sleep(HEAR_NS)
         if self.register.recovering:
             return  # there is a set already: this is no first start, whatever the settings say
         if not self.register.voting:
             self.register.form(self.seeds, lambda: None)
+        self.scheduler.sleep(GATHER_NS)
         while not self.register.founded:
             self._propose()
             self.scheduler.sleep(PAUSE_NS)
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -197,6 +197,8 @@
             return
         if self.register.voting:
             self.register.found(told.members, self._tell_members)
+        elif self.settings.bootstrap and not self._is_founder:
+            self.register.join(told.members, self._tell_members)
         else:
             self.register.recover(told.members, self._tell_members)
             self._follow_members()
--- a/iristrack/controlplane/register_host.py
+++ b/iristrack/controlplane/register_host.py
@@ -107,6 +107,13 @@
         incarnation = secrets.token_hex(8)
         self._begin(MembersValue(UNFOUNDED, members), incarnation, (), on_done)
 
+    def join(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
+        """The first start of the whole system, and the seeds have named this machine, which has never voted."""
+        if self._recovering or self._forming or self.voting:
+            return
+        self._forming = True
+        self._begin(MembersValue(FOUNDED, members), secrets.token_hex(8), (), on_done)
+
     def found(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
         """The seeds have agreed on the member set: every other register is voted on by these alone."""
         if self.founded:
--- a/iristrack/controlplane/status.py
+++ b/iristrack/controlplane/status.py
@@ -124,6 +124,7 @@
     address: str = ""  # inner address, ip:port
     process: str = ""
     voting: bool = False
+    founded: bool = False  # is the member set known that the seeds agreed on? No change is taken before
     incarnation: str = ""
     members: tuple[MemberStatus, ...] = ()
     topics: tuple[TopicStatus, ...] = ()
@@ -183,6 +184,7 @@
         address=parts.address,
         process=parts.process,
         voting=parts.register.voting,
+        founded=parts.register.founded,
         incarnation=parts.register.incarnation,
         members=_members(parts, connected),
         topics=tuple(
--- a/tests/system/test_core_losses.py
+++ b/tests/system/test_core_losses.py
@@ -217,3 +217,17 @@
         core.kill()
     assert system.operator.replace(version(3), 2).status == 200
     wait_served(system, 3)
+
+
+def test_a_seed_that_starts_when_the_others_have_agreed_votes_as_well(new_system) -> None:
+    """It recovers from the four others, of which two are no seeds and do not wait for it."""
+    system = new_system(cores=5, edges=0)
+    late, *others = system.cores
+    for core in others:
+        core.start()
+    for core in others:
+        wait_voting(core, 1)
+    assert system.operator.replace(version(1), 0).status == 200
+    late.start()
+    wait_voting(late, 1)
+    assert newest(system, late) == version(1)
