--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -15,8 +15,9 @@
 
 from iristrack.http1 import messages as http
 
-
-SERVICE_S = 0.1  # a small request's time at the server, as its reports tell: long against what a busy machine adds,
+SERVICE_S = (
+    0.1  # a small request's time at the server, as its reports tell: long against what a busy machine adds,
+)
 # since a sidecar's own limit follows how evenly answers come, and would hold requests back for that alone
 
 
@@ -32,7 +33,10 @@
     def report(self) -> bytes:
         with self.lock:
             held = sum(self.held.values())
-        return b"X-Load-Report: TEXT eps=0, latency_ms=%d, qps=%d, queue=0\r\n" % (SERVICE_S * 1000, held * 20)
+        return b"X-Load-Report: TEXT eps=0, latency_ms=%d, qps=%d, queue=0\r\n" % (
+            SERVICE_S * 1000,
+            held * 20,
+        )
 
     def __call__(self, message: http.Message, sock: socket.socket) -> bytes:
         sender = message.head.fields[b"x-call-id"].decode()[0]
