--- a/iristrack/cli/system_sources.py
+++ b/iristrack/cli/system_sources.py
@@ -30,6 +30,7 @@
     topics.CONFIGURATION: ConfigurationValue,
     topics.VERSIONS: VersionsValue,
     topics.MEMBERS: MembersValue,
+    topics.MEMBER_SET: MembersValue,
     topics.WEIGHTS_DUTY: DutyValue,
 }
 
--- a/iristrack/controlplane/founding.py
+++ b/iristrack/controlplane/founding.py
@@ -3,10 +3,10 @@
 Only the seeds are known at the first start, and there may be more core machines. Each seed waits a little for word of a
 set, votes, waits for core machines that report to it, and proposes the seeds and those machines. The proposal is an
 ordinary change of the register `members` at a majority of the seeds, so that exactly one set comes of it, whoever
-proposes and whatever is cut. No other register is changed by a process that does not know this set: there is no second
-set, and none to change from. The machines that are not seeds have never voted, and do so from then on. A seed that is
-told of a set while it waits recovers from the others: its disk may have been lost, and the settings still be those of
-the first start.
+proposes and whatever is cut. No other register is changed by a process that does not know this set, and all later sets
+are agreed on in a register of their own (`member_changes.py`). The machines that are not seeds have never voted, and do
+so from then on. A seed that is told of a set while it waits recovers from the others: its disk may have been lost, and
+the settings still be those of the first start.
 """
 
 from __future__ import annotations
@@ -14,11 +14,11 @@
 from collections.abc import Callable
 
 from iristrack.controlplane.changes import Change, Outcome
-from iristrack.controlplane.register_host import FOUNDED, RegisterHost
+from iristrack.controlplane.register_host import RegisterHost
 from iristrack.register import Committed, Unchanged
 from iristrack.relay import topics
 from iristrack.runtime.scheduler import Scheduler, clock
-from iristrack.wire.messages import MembersValue
+from iristrack.wire.messages import FOUNDED, MembersValue
 from iristrack.wire.values import decode_value, encode_value
 
 NS_PER_MS = 1_000_000
@@ -63,7 +63,7 @@
         if self.register.recovering:
             return  # there is a set already: this is no first start, whatever the settings say
         if not self.register.voting:
-            self.register.form(self.seeds, lambda: None)
+            self.register.form(self.seeds)
         self.scheduler.sleep(GATHER_NS)
         while not self.register.founded:
             self._propose()
@@ -74,4 +74,4 @@
         result = self.register.change(topics.MEMBERS, propose_members(proposed), clock() + ROUND_NS)
         told = decode_value(result.value, MembersValue) if isinstance(result, Committed) else None
         if told is not None:
-            self.register.found(told.members, self.on_founded)
+            self.register.follow(told, False, self.on_founded)
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -15,8 +15,9 @@
 from iristrack.controlplane.kept_prompts import KeptPrompts
 from iristrack.controlplane.list_poller import ListPoller
 from iristrack.controlplane.load_hub import LoadHub
+from iristrack.controlplane.member_changes import MemberChanges
 from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
-from iristrack.controlplane.register_host import FOUNDED, RegisterHost
+from iristrack.controlplane.register_host import RegisterHost
 from iristrack.controlplane.status import PeerBook, status_document
 from iristrack.controlplane.weights import WeightsDuty
 from iristrack.http1.serving import HttpServer
@@ -60,6 +61,7 @@
     topics.VERSIONS: VersionsValue,
     topics.WEIGHTS_DUTY: DutyValue,
     topics.MEMBERS: MembersValue,
+    topics.MEMBER_SET: MembersValue,
 }
 
 
@@ -124,6 +126,14 @@
             seeds = self.register.members or tuple(sorted(self._seeds()))
             Founding(self.scheduler, self.register, seeds, self._reporting_core, self._tell_members)
         self._follow_members()
+        MemberChanges(
+            self.scheduler,
+            self.register,
+            self._connected,
+            self._reporting_core,
+            self._publish_members,
+            self.log,
+        )
         ListPoller(self.scheduler, settings.provider_api, self.distribution, self._is_first)
         self.scheduler.spawn("learner", self._learn_loop)
 
@@ -161,12 +171,14 @@
 
     def _is_first(self) -> bool:
         """Is this the first of the members that it is connected with?"""
-        return min(self._connected()) == self.address
+        return min(self._connected(), default="") == self.address
 
     def _connected(self) -> list[str]:
-        """The members that this one is connected with, itself among them."""
-        dialers = self.dialers.dialers.items()
-        return [self.address, *(address for address, dialer in dialers if dialer.connected)]
+        """The members that this process is connected with, itself among them where it is one."""
+        others = [address for address, dialer in self.dialers.dialers.items() if dialer.connected]
+        if self.register.members and not self.register.is_member:
+            return others
+        return [self.address, *others]
 
     def _holders(self) -> set[str]:
         """Addresses of all that keep parts of prompts: servers with an engine, and stores."""
@@ -186,22 +198,20 @@
     def _reporting_core(self) -> set[str]:
         return {hello.address for _, hello in self.peer_book.open() if hello.role == CORE_ROLE}
 
-    def _tell_members(self) -> None:
-        members = MembersValue(FOUNDED, self.register.members)
+    def _publish_members(self, members: MembersValue) -> None:
         self.distribution.publish(Update(topics.MEMBERS, members.sequence, encode_value(members)))
+
+    def _tell_members(self) -> None:
+        self._publish_members(self.register.member_set)
         self._follow_members()
 
     def _on_learned(self, update: Update) -> None:
         told = decode_value(update.value, MembersValue) if update.topic == topics.MEMBERS else None
-        if told is None or self.address not in told.members:
+        if told is None:
             return
-        if self.register.voting:
-            self.register.found(told.members, self._tell_members)
-        elif self.settings.bootstrap and not self._is_founder:
-            self.register.join(told.members, self._tell_members)
-        else:
-            self.register.recover(told.members, self._tell_members)
-            self._follow_members()
+        first_start = self.settings.bootstrap and not self._is_founder
+        self.register.follow(told, first_start, self._tell_members)
+        self._follow_members()
 
     # ---- peers
 
@@ -294,7 +304,7 @@
         cell = self.register.acceptor.cell(key)
         if not cell.value:
             return False
-        update = self.distribution.topics.get(key)
+        update = self.distribution.topics.get(topics.topic_of(key))
         value = decode_value(cell.value, VALUE_TYPES[key])
         return value is not None and (update is None or update.sequence < value.sequence)
 
@@ -305,7 +315,7 @@
         self._learned[key] = (result.ballot,)
         value = decode_value(result.value, VALUE_TYPES[key])
         if value is not None:
-            self.distribution.publish(Update(key, value.sequence, result.value))
+            self.distribution.publish(Update(topics.topic_of(key), value.sequence, result.value))
 
 
 def _engines_and_stores(value: bytes) -> tuple[set[str], set[str]]:
--- a/iristrack/controlplane/register_host.py
+++ b/iristrack/controlplane/register_host.py
@@ -28,12 +28,21 @@
 from iristrack.runtime.scheduler import Scheduler, Task, Timer, clock
 from iristrack.store.cells import BlobRecord, IdentityRecord, OpenedCells
 from iristrack.store.sync_thread import SyncThread
-from iristrack.wire.messages import Accept, Accepted, MembersValue, Message, Prepare, Promise
+from iristrack.wire.messages import (
+    FOUNDED,
+    UNFOUNDED,
+    Accept,
+    Accepted,
+    MembersValue,
+    Message,
+    Prepare,
+    Promise,
+    Update,
+)
 from iristrack.wire.values import decode_value, encode_value
 
 MEMBERS_BLOB = "members"
-UNFOUNDED = 0  # sequence of the member set that the seeds begin with
-FOUNDED = 1  # and of the one that they have agreed on
+NO_MEMBERS = MembersValue(UNFOUNDED)
 Reply = Callable[[Message], None]
 SendToMember = Callable[[str, Message], None]
 
@@ -70,19 +79,34 @@
         self.log = log
         self.rng = random.Random()
         self.identity = ProposerIdentity(f"{name}/{secrets.token_hex(6)}")
-        self.members: tuple[str, ...] = ()
-        self.founded = False  # is the member set the one that was agreed on?
+        self.member_set = decode_value(opened.blobs.get(MEMBERS_BLOB, b""), MembersValue) or NO_MEMBERS
         self.acceptor: Acceptor | None = None
         self._running: list[_Running] = []
         self._opened = opened
-        self._recovering = False
+        self._recovery: _Running | None = None
         self._forming = False
-        members = decode_value(opened.blobs.get(MEMBERS_BLOB, b""), MembersValue)
-        if opened.identity is not None and members is not None:
-            self.members = members.members
-            self.founded = members.sequence >= FOUNDED
+        if self.member_set.members and opened.identity is not None and opened.identity.incarnation:
             cells = {key: Cell(r.promised, r.accepted, r.value) for key, r in opened.cells.items()}
-            self.acceptor = Acceptor(name, opened.identity.incarnation, cells, True, keys=keys)
+            self.acceptor = self._make_acceptor(opened.identity.incarnation, cells)
+
+    def _make_acceptor(self, incarnation: str, cells: dict[str, Cell]) -> Acceptor:
+        sequence = self.member_set.sequence
+        return Acceptor(self.name, incarnation, cells, True, keys=self.keys, member_sequence=sequence)
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """The inner addresses of the newest known member set; empty while none is known."""
+        return self.member_set.members
+
+    @property
+    def founded(self) -> bool:
+        """Is the member set one that was agreed on?"""
+        return self.member_set.sequence >= FOUNDED
+
+    @property
+    def is_member(self) -> bool:
+        """Does the newest known set name this process?"""
+        return self.name in self.member_set.members
 
     @property
     def voting(self) -> bool:
@@ -92,59 +116,105 @@
     @property
     def recovering(self) -> bool:
         """Does it read from the others what its lost disk held?"""
-        return self._recovering
+        return self._recovery is not None
 
     @property
     def incarnation(self) -> str:
         """What this process's acceptor tells of itself; empty while it has none."""
         return "" if self.acceptor is None else self.acceptor.incarnation
 
-    # ---- how an acceptor comes to vote
+    # ---- how an acceptor comes to vote, and ceases to
 
-    def form(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
+    def form(self, members: tuple[str, ...]) -> None:
         """The first start of the whole system: this is one of the seeds, which vote on the member set first."""
-        self._forming = True
-        incarnation = secrets.token_hex(8)
-        self._begin(MembersValue(UNFOUNDED, members), incarnation, (), on_done)
+        self._begin(MembersValue(UNFOUNDED, members), secrets.token_hex(8), (), lambda: None)
 
-    def join(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
-        """The first start of the whole system, and the seeds have named this machine, which has never voted."""
-        if self._recovering or self._forming or self.voting:
-            return
-        self._forming = True
-        self._begin(MembersValue(FOUNDED, members), secrets.token_hex(8), (), on_done)
+    def follow(self, told: MembersValue, first_start: bool, on_done: Callable[[], None]) -> None:
+        """Go by a newer member set; `on_done` is called where its members vote here, and where it names others alone.
 
-    def found(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
-        """The seeds have agreed on the member set: every other register is voted on by these alone."""
-        if self.founded:
+        `first_start`: this machine has never voted, as the whole system starts for the first time.
+        """
+        waits = self._is_idle and self.is_member
+        if told.sequence < self.member_set.sequence or (
+            told.sequence == self.member_set.sequence and not waits
+        ):
             return
-        blob = BlobRecord(MEMBERS_BLOB, encode_value(MembersValue(FOUNDED, members)))
+        if self.name not in told.members:
+            self._retire(told)
+            on_done()
+        elif told.joining == self.name:
+            self._retire(told)
+            self._recover(on_done)
+        elif self.voting:
+            self._vote_under(told, on_done)
+        elif first_start and told.sequence == FOUNDED:
+            self._begin(told, secrets.token_hex(8), (), on_done)
+        else:
+            self.member_set = told
+            self._recover(on_done)
+        self._tell_proposers()
+
+    @property
+    def _is_idle(self) -> bool:
+        """Does it neither vote nor come to vote?"""
+        return not self.voting and self._recovery is None and not self._forming
+
+    def _vote_under(self, told: MembersValue, on_done: Callable[[], None]) -> None:
+        """Answer messages of this set alone, from the next one on; replies wait for its record like all others."""
+        self.member_set = told
+        self.acceptor.member_sequence = told.sequence
 
         def written(ok: bool) -> None:
-            if ok and not self.founded:
-                self.members, self.founded = members, True
-                self.log.info("founded", members=",".join(members))
+            if ok:
+                event = "founded" if told.sequence == FOUNDED else "member set"
+                self.log.info(event, sequence=told.sequence, members=",".join(told.members))
                 on_done()
+            elif self.voting:
+                self.acceptor.write_failed()
+                self.log.error("no vote any more: the disk refused a record")
 
-        self.sync.submit([blob], written)
+        self.sync.submit([BlobRecord(MEMBERS_BLOB, encode_value(told))], written)
 
-    def recover(self, members: tuple[str, ...], on_done: Callable[[], None]) -> None:
-        """The disk came back empty: read from the others, then vote under a new incarnation."""
-        if self._recovering or self._forming or self.voting:
+    def _retire(self, told: MembersValue) -> None:
+        """Vote no more, also after a restart, until this process is let in again and has recovered."""
+        self._stop_recovery()
+        had_voted = self.acceptor is not None
+        self.member_set = told
+        self.acceptor = None
+        if not had_voted:
             return
-        self._recovering = True
-        self.members = members
+        self.log.info("retired", sequence=told.sequence, members=",".join(told.members))
+        records = [IdentityRecord("", self.sync_node), BlobRecord(MEMBERS_BLOB, encode_value(told))]
+        self.sync.submit(records, lambda ok: None)
+
+    def _recover(self, on_done: Callable[[], None]) -> None:
+        """Read from the others what this disk does not hold, then vote under a new incarnation."""
+        if self._forming:
+            return
+        self._stop_recovery()
+        members = self.member_set
         incarnation = secrets.token_hex(8)
-        running = _Running(Recovery(self.name, self.identity, members, self.keys, self.rng))
+        try:
+            decider = Recovery(self.name, self.identity, members, self.keys, self.rng)
+        except ValueError as fault:
+            self.log.error("no recovery", reason=str(fault))
+            return
+        running = self._recovery = _Running(decider)
         self._running.append(running)
 
         def finished(recovered: Recovered) -> None:
-            self._begin(MembersValue(FOUNDED, members), incarnation, recovered.records, on_done)
+            self._recovery = None
+            self._begin(members, incarnation, recovered.records, on_done)
 
         running.result = finished
-        self.log.info("recovering", members=",".join(members))
+        self.log.info("recovering", sequence=members.sequence, members=",".join(members.members))
         self._carry_out(running, running.decider.start(clock()))
 
+    def _stop_recovery(self) -> None:
+        if self._recovery is not None:
+            self._forget(self._recovery)
+            self._recovery = None
+
     def _begin(
         self,
         members: MembersValue,
@@ -152,21 +222,24 @@
         records: tuple[CellRecord, ...],
         on_done: Callable[[], None],
     ) -> None:
+        self._forming = True
         blob = BlobRecord(MEMBERS_BLOB, encode_value(members))
         identity = IdentityRecord(incarnation, self.sync_node)
 
         def written(ok: bool) -> None:
-            self._recovering = self._forming = False
+            self._forming = False
             if not ok:
                 self.log.error("no vote: the disk refused the first records")
-                return
-            self.members, self.founded = members.members, members.sequence >= FOUNDED
-            cells = {r.key: Cell(r.promised, r.accepted, r.value) for r in records}
-            self.acceptor = Acceptor(self.name, incarnation, cells, True, keys=self.keys)
-            self.identity.incarnations[self.name] = self.acceptor.incarnation
-            self.log.info("voting", incarnation=incarnation, members=",".join(members.members))
-            on_done()
+            elif members.sequence < self.member_set.sequence and self.is_member:
+                self._recover(on_done)
+            elif members.sequence >= self.member_set.sequence:
+                self.member_set = members
+                self.acceptor = self._make_acceptor(incarnation, cells)
+                self.identity.incarnations[self.name] = self.acceptor.incarnation
+                self.log.info("voting", incarnation=incarnation, members=",".join(members.members))
+                on_done()
 
+        cells = {r.key: Cell(r.promised, r.accepted, r.value) for r in records}
         self.sync.submit([identity, blob, *records], written)
 
     @property
@@ -177,7 +250,16 @@
     # ---- messages
 
     def handle(self, message: Message, reply: Reply) -> None:
-        """Take a message of the register; replies to requests are released when their records are synced."""
+        """Take a message of the register; replies to requests are released when their records are synced.
+
+        Whoever goes by an older member set is told of the newer one.
+        """
+        if message.members < self.member_set.sequence:
+            newest = Update(topics.MEMBERS, self.member_set.sequence, encode_value(self.member_set))
+            if isinstance(message, Prepare | Accept):
+                reply(newest)
+            else:
+                self.send(message.acceptor, newest)
         if isinstance(message, Prepare):
             self._vote(lambda acceptor: acceptor.handle_prepare(message), reply)
         elif isinstance(message, Accept):
@@ -213,7 +295,7 @@
         """Change a register from a task of the loop; returns when it has ended."""
         if not self.members or not (self.founded or key == topics.MEMBERS):
             return Unavailable(in_doubt=False)
-        proposer = Proposer(self.identity, key, self.members, change, self.rng, deadline, pace)
+        proposer = Proposer(self.identity, key, self.member_set, change, self.rng, deadline, pace)
         running = _Running(proposer)
         running.task = self.scheduler.current
         self._running.append(running)
@@ -236,16 +318,25 @@
             elif isinstance(effect, Finished):
                 self._finish(running, effect.result)
 
+    def _tell_proposers(self) -> None:
+        for running in list(self._running):
+            if isinstance(running.decider, Proposer):
+                self._carry_out(running, running.decider.use(self.member_set, clock()))
+
     def _on_timer(self, running: _Running) -> None:
         self._carry_out(running, running.decider.on_timer(clock()))
 
     def _send(self, effect: SendTo) -> None:
         if effect.member == self.name:
             # In a turn of its own: a decider must not be given an answer while its effects are carried out.
-            self.scheduler.call_at(clock(), self.handle, effect.message, self._dispatch)
+            self.scheduler.call_at(clock(), self.handle, effect.message, self._answer_self)
         else:
             self.send(effect.member, effect.message)
 
+    def _answer_self(self, answer: Message) -> None:
+        if isinstance(answer, Promise | Accepted):  # of a newer member set this process knows already
+            self._dispatch(answer)
+
     def _finish(self, running: _Running, result: object) -> None:
         if callable(running.result):  # a recovery: its end is a call
             on_recovered = running.result
--- a/iristrack/register/__init__.py
+++ b/iristrack/register/__init__.py
@@ -7,6 +7,15 @@
 from iristrack.register.acceptor import RECOVERY_KEY, Acceptor, Cell, CellRecord, Outcome
 from iristrack.register.effects import Effect, Finished, SendTo, SetTimer
 from iristrack.register.identity import ProposerIdentity
+from iristrack.register.member_set import (
+    MOST_MEMBERS,
+    MemberSetError,
+    added,
+    change_members,
+    quorum_of,
+    replaced,
+    settled,
+)
 from iristrack.register.proposer import (
     Change,
     Committed,
@@ -22,6 +31,7 @@
 from iristrack.register.recovery import Recovered, Recovery, RecoveryPace
 
 __all__ = [
+    "MOST_MEMBERS",
     "RECOVERY_KEY",
     "Acceptor",
     "Cell",
@@ -30,6 +40,7 @@
     "Committed",
     "Effect",
     "Finished",
+    "MemberSetError",
     "Outcome",
     "Overtaken",
     "Pace",
@@ -45,4 +56,9 @@
     "SetTimer",
     "Unavailable",
     "Unchanged",
+    "added",
+    "change_members",
+    "quorum_of",
+    "replaced",
+    "settled",
 ]
--- a/iristrack/register/acceptor.py
+++ b/iristrack/register/acceptor.py
@@ -25,7 +25,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from iristrack.wire.messages import NO_BALLOT, Accept, Accepted, Ballot, Prepare, Promise
+from iristrack.wire.messages import FOUNDED, NO_BALLOT, Accept, Accepted, Ballot, Prepare, Promise
 
 RECOVERY_KEY = ""  # no register: recovering acceptors announce themselves by a Prepare on it
 
@@ -65,11 +65,19 @@
 
     A non-voting acceptor grants nothing and answers with `promised` = NO_BALLOT, which a proposer takes for no answer:
     no voting acceptor refuses a ballot because of NO_BALLOT. Keys outside `keys` are answered in the same way, since a
-    recovery could not have read them.
+    recovery could not have read them, and so are messages of another member set than `member_sequence`, which the host
+    raises when the record of a newer set is handed to the disk.
     """
 
     def __init__(
-        self, name: str, incarnation: str, cells: dict[str, Cell], voting: bool, *, keys: Iterable[str]
+        self,
+        name: str,
+        incarnation: str,
+        cells: dict[str, Cell],
+        voting: bool,
+        *,
+        keys: Iterable[str],
+        member_sequence: int = FOUNDED,
     ) -> None:
         """Take the cells as read from the disk.
 
@@ -78,6 +86,7 @@
         """
         self.name = name
         self.voting = voting
+        self.member_sequence = member_sequence
         self._disk_incarnation = incarnation
         self._cells = dict(cells)
         self._keys = frozenset(keys) | {RECOVERY_KEY}
@@ -96,7 +105,7 @@
 
     def handle_prepare(self, prepare: Prepare) -> Outcome:
         """Promise the ballot unless a higher one was promised; the same one is promised again."""
-        if not self._votes_on(prepare.key):
+        if not self._votes_on(prepare.key, prepare.members):
             return Outcome(None, self._promise(prepare, EMPTY_CELL, granted=False))
         cell = self.cell(prepare.key)
         if prepare.ballot < cell.promised or prepare.ballot == NO_BALLOT:
@@ -107,7 +116,7 @@
 
     def handle_accept(self, accept: Accept) -> Outcome:
         """Accept the value unless a higher ballot was promised or the promise was another incarnation's."""
-        if accept.key == RECOVERY_KEY or not self._votes_on(accept.key):
+        if accept.key == RECOVERY_KEY or not self._votes_on(accept.key, accept.members):
             return Outcome(None, self._accepted(accept, EMPTY_CELL, granted=False))
         cell = self.cell(accept.key)
         if not self._may_accept(accept, cell):
@@ -120,8 +129,8 @@
         """Stop voting until the state is read from the disk again; replies not yet released must be dropped."""
         self.voting = False
 
-    def _votes_on(self, key: str) -> bool:
-        return self.voting and key in self._keys
+    def _votes_on(self, key: str, member_sequence: int) -> bool:
+        return self.voting and key in self._keys and member_sequence == self.member_sequence
 
     def _may_accept(self, accept: Accept, cell: Cell) -> bool:
         if accept.ballot < cell.promised or accept.ballot == NO_BALLOT:
@@ -142,6 +151,7 @@
             promised=cell.promised,
             accepted=cell.accepted,
             value=cell.value,
+            members=self.member_sequence,
         )
 
     def _accepted(self, accept: Accept, cell: Cell, *, granted: bool) -> Accepted:
@@ -152,4 +162,5 @@
             incarnation=self.incarnation,
             granted=granted,
             promised=cell.promised,
+            members=self.member_sequence,
         )
--- /dev/null
+++ b/iristrack/register/member_set.py
@@ -0,0 +1,94 @@
+"""Changes of the member set: one member at a time is let in, in another's place or beside all.
+
+The set is the value of a register of its own, and each change is an ordinary compare-and-set of it at a majority of the
+set that it changes. Every message of the register names the sequence of its sender's set, and an acceptor answers only
+those of its own set, which it has on its disk. A member that is let in does not vote until it has recovered
+(`recovery.py`): its announcement is granted only by members of the new set, so that they refuse the old one from then
+on, and it then reads every register from them. When it votes it settles the set, which is one more change.
+
+Why no acknowledged value is lost
+---------------------------------
+Let S be the old set with N members, T the new one with M, and R the members that granted the recovery's reads: M // 2 +
+1 of those in T but the newcomer, or all of them where they are fewer.
+
+*A in S is replaced by B* (M = N). A quorum of S has at least N // 2 members that are not A, of N - 1, and R has
+N // 2 + 1 of these or all: some C is in both. C granted the announcement as a member of T and refuses S from then on.
+So a round under S either ended at C before, and B's reads, which come after, see it as the reads of a recovery see a
+first round that ended before the disk was lost; or it cannot end. A may have its disk and vote under S for ever: no
+quorum of S can be had without such a C.
+
+*B is added* (M = N + 1). A quorum of S has N // 2 + 1 of N members, R has (N + 1) // 2 + 1 of the same N: they meet.
+
+*Rounds under T* are led by proposers that know T, and T's quorums without B meet those of S: N // 2 + 1 and N // 2 of
+N - 1 where A was replaced, (N + 1) // 2 + 1 and N // 2 + 1 of N where B was added. Those with B are of use only after B
+has recovered.
+
+*One change after another.* The next change is made of a settled set only, when rounds under S cannot end any more. The
+exception is B itself: it may be replaced while it is joining, as its successor's R meets the quorums of S and those of
+T alike.
+
+A member that was replaced and is let in again recovers anew, whatever its disk holds. While a member is joining, as
+many others may be lost as before it was let in, less the one whose place it takes; a set with an even number of members
+bears the loss of no more than the next smaller odd one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from iristrack.register.proposer import Refuse, Unchanged
+from iristrack.wire.messages import FOUNDED, MembersValue
+from iristrack.wire.values import decode_value, encode_value
+
+MOST_MEMBERS = 9
+SET_DIFFERS = "another member set is current"
+
+
+class MemberSetError(ValueError):
+    """A change that cannot be made of this set."""
+
+
+def quorum_of(members: MembersValue) -> int:
+    """How many members a round needs."""
+    return len(members.members) // 2 + 1
+
+
+def replaced(members: MembersValue, old: str, new: str) -> MembersValue:
+    """The set with `new` in the place of `old`; raises `MemberSetError`."""
+    if members.joining not in ("", old):
+        raise MemberSetError(f"{members.joining} has not recovered yet")
+    if old not in members.members or new in members.members:
+        raise MemberSetError(f"{old} is no member, or {new} is one")
+    kept = [member for member in members.members if member != old]
+    return MembersValue(members.sequence + 1, tuple(sorted([*kept, new])), new)
+
+
+def added(members: MembersValue, new: str) -> MembersValue:
+    """The set with `new` beside all others; raises `MemberSetError`."""
+    if members.joining:
+        raise MemberSetError(f"{members.joining} has not recovered yet")
+    if new in members.members or len(members.members) >= MOST_MEMBERS:
+        raise MemberSetError(f"{new} is a member, or there are {MOST_MEMBERS}")
+    return MembersValue(members.sequence + 1, tuple(sorted([*members.members, new])), new)
+
+
+def settled(members: MembersValue) -> MembersValue:
+    """The set once its joining member votes."""
+    return MembersValue(members.sequence + 1, members.members)
+
+
+def change_members(
+    expected: MembersValue, proposed: MembersValue
+) -> Callable[[bytes], bytes | Unchanged | Refuse]:
+    """Put `proposed` in the place of `expected`; an empty register stands for the set of the founding."""
+
+    def change(value: bytes) -> bytes | Unchanged | Refuse:
+        current = decode_value(value, MembersValue) if value else None
+        if current == proposed:
+            return Unchanged()
+        sequence = FOUNDED if current is None else current.sequence
+        if sequence != expected.sequence:
+            return Refuse(SET_DIFFERS)
+        return encode_value(proposed)
+
+    return change
--- a/iristrack/register/proposer.py
+++ b/iristrack/register/proposer.py
@@ -15,6 +15,11 @@
 majority, B is never read again: a refusal is then definite (`Rejected`). When it finds a higher ballot with other
 content, B may have been chosen and overwritten: the refusal is told as `Overtaken`.
 
+Member sets
+-----------
+Each attempt goes by one member set, and `use` has a newer one taken up by a new attempt. What was proposed under the
+old set stays in doubt as before: a quorum of either set meets one of the other (`member_set.py`).
+
 Incarnations
 ------------
 A promise counts only if the acceptor tells the incarnation that this process had heard from it before the attempt sent
@@ -32,7 +37,7 @@
 from iristrack.register.acceptor import RECOVERY_KEY
 from iristrack.register.effects import Effect, Finished, SendTo, SetTimer
 from iristrack.register.identity import ProposerIdentity
-from iristrack.wire.messages import NO_BALLOT, Accept, Accepted, Ballot, Prepare, Promise
+from iristrack.wire.messages import NO_BALLOT, Accept, Accepted, Ballot, MembersValue, Prepare, Promise
 
 MILLISECOND = 1_000_000
 
@@ -110,23 +115,22 @@
         self,
         identity: ProposerIdentity,
         key: str,
-        members: tuple[str, ...],
+        members: MembersValue,
         change: Change,
         rng: random.Random,
         deadline_ns: int,
         pace: Pace | None = None,
     ) -> None:
-        """Prepare the change; `members` are all acceptors, `deadline_ns` is on the clock of `now`.
+        """Prepare the change; `deadline_ns` is on the clock of `now`.
 
         Raises ValueError for the key reserved to recoveries and for an empty or repeated member list.
         """
         if key == RECOVERY_KEY:
             raise ValueError("the empty key is reserved to recoveries")
-        if not members or len(set(members)) != len(members):
+        if not members.members or len(set(members.members)) != len(members.members):
             raise ValueError("members must be named, each once")
         self.key = key
-        self.members = members
-        self.quorum = len(members) // 2 + 1
+        self._follow(members)
         self.result: ProposerResult | None = None
         self._identity = identity
         self._change = change
@@ -162,6 +166,18 @@
             return self._handle_accepted(message, now)
         return []
 
+    def use(self, members: MembersValue, now: int) -> list[Effect]:
+        """Go by a newer member set: what is under way begins anew."""
+        if self._phase is _Phase.FINISHED or members.sequence <= self.member_sequence:
+            return []
+        self._follow(members)
+        return self._begin_attempt(now)
+
+    def _follow(self, members: MembersValue) -> None:
+        self.members = members.members
+        self.member_sequence = members.sequence
+        self.quorum = len(members.members) // 2 + 1
+
     def on_timer(self, now: int) -> list[Effect]:
         """End a rest, an attempt or the change, whichever is due; a timer that was replaced does nothing."""
         if self._phase is _Phase.FINISHED or now < self._due_ns:
@@ -180,7 +196,7 @@
         self._ballot = self._identity.next_ballot(self.key)
         self._promises = {}
         self._begin_phase(_Phase.PREPARING)
-        prepare = Prepare(self._call, self.key, self._ballot)
+        prepare = Prepare(self._call, self.key, self._ballot, self.member_sequence)
         effects: list[Effect] = [SendTo(member, prepare) for member in self.members]
         effects.append(self._set_timer(now + self._pace.attempt_timeout_ns))
         return effects
@@ -260,7 +276,8 @@
         return effects
 
     def _accept_for(self, member: str) -> Accept:
-        return Accept(self._call, self.key, self._ballot, self._promised_incarnation(member), self._proposal)
+        incarnation = self._promised_incarnation(member)
+        return Accept(self._call, self.key, self._ballot, incarnation, self._proposal, self.member_sequence)
 
     def _promised_incarnation(self, member: str) -> str:
         promise = self._promises.get(member)
--- a/iristrack/register/recovery.py
+++ b/iristrack/register/recovery.py
@@ -1,4 +1,4 @@
-"""The recovery of an acceptor whose disk came back empty, or whose machine was replaced under the same name.
+"""The recovery of an acceptor whose disk came back empty, or that was let into the member set (`member_set.py`).
 
 Two rounds, both at N // 2 + 1 *other* voting members (N counts all members, this one too):
 
@@ -47,7 +47,7 @@
 from iristrack.register.acceptor import RECOVERY_KEY, CellRecord
 from iristrack.register.effects import Effect, Finished, SendTo, SetTimer
 from iristrack.register.identity import ProposerIdentity
-from iristrack.wire.messages import NO_BALLOT, Ballot, Prepare, Promise
+from iristrack.wire.messages import NO_BALLOT, Ballot, MembersValue, Prepare, Promise
 
 MILLISECOND = 1_000_000
 
@@ -83,17 +83,20 @@
         self,
         acceptor: str,
         identity: ProposerIdentity,
-        members: tuple[str, ...],
+        members: MembersValue,
         keys: tuple[str, ...],
         rng: random.Random,
         pace: RecoveryPace | None = None,
     ) -> None:
         """Prepare the recovery; `members` are all members with this one, `keys` all registers that exist.
 
-        Raises ValueError where the other members are too few to recover from.
+        Raises ValueError where the other members are too few to recover from. One that joins can do with all others.
         """
-        self.others = tuple(member for member in members if member != acceptor)
-        self.quorum = len(members) // 2 + 1
+        self.member_sequence = members.sequence
+        self.others = tuple(member for member in members.members if member != acceptor)
+        self.quorum = len(members.members) // 2 + 1
+        if members.joining == acceptor:
+            self.quorum = max(1, min(self.quorum, len(self.others)))
         if len(self.others) < self.quorum:
             raise ValueError("too few other members to recover from")
         self._identity = identity
@@ -138,7 +141,7 @@
         self._reads = {}
         self._announce_call = self._identity.next_call()
         self._announcement = self._identity.next_ballot(RECOVERY_KEY)
-        prepare = Prepare(self._announce_call, RECOVERY_KEY, self._announcement)
+        prepare = Prepare(self._announce_call, RECOVERY_KEY, self._announcement, self.member_sequence)
         effects: list[Effect] = [SendTo(member, prepare) for member in self.others]
         effects.append(self._set_timer(now))
         return effects
@@ -165,7 +168,8 @@
         call = self._identity.next_call()
         read = _Read(key, self._identity.next_ballot(key))
         self._reads[call] = read
-        return [SendTo(member, Prepare(call, key, read.ballot)) for member in self._incarnations]
+        prepare = Prepare(call, key, read.ballot, self.member_sequence)
+        return [SendTo(member, prepare) for member in self._incarnations]
 
     def _handle_read(self, promise: Promise, read: _Read) -> list[Effect]:
         self._identity.saw(read.key, promise.promised)
--- a/iristrack/relay/topics.py
+++ b/iristrack/relay/topics.py
@@ -8,14 +8,20 @@
 
 CONFIGURATION = "configuration"
 VERSIONS = "versions"
-MEMBERS = "members"
+MEMBERS = "members"  # the topic; as a register it holds the first set, which the seeds agree on
+MEMBER_SET = "member-set"  # the register of all later sets
 WEIGHTS_DUTY = "duty/weights"
 BUSY_SERVERS = "busy-servers"
 SERVERS = "servers"
-REGISTERS = (CONFIGURATION, VERSIONS, MEMBERS, WEIGHTS_DUTY)
+REGISTERS = (CONFIGURATION, VERSIONS, MEMBERS, MEMBER_SET, WEIGHTS_DUTY)
 MOST_TOPICS = 64
 
 
+def topic_of(register: str) -> str:
+    """The topic under which a register's value is handed on."""
+    return MEMBERS if register == MEMBER_SET else register
+
+
 class TopicTable:
     """Topics by name; a higher sequence takes the place of a lower one, never the other way round."""
 
--- a/iristrack/simulation/register.py
+++ b/iristrack/simulation/register.py
@@ -13,10 +13,11 @@
 import sys
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from iristrack.register.effects import Effect, SendTo
 from iristrack.register.identity import ProposerIdentity
+from iristrack.register.member_set import MemberSetError, added, replaced
 from iristrack.register.proposer import Committed, Proposer
 from iristrack.simulation.register_events import (
     FAULTLESS,
@@ -31,16 +32,20 @@
     USUAL_SYNC_NS,
     AcceptorHost,
     Client,
+    MemberChanger,
     Planted,
     Surroundings,
     read_only,
 )
 from iristrack.simulation.register_referee import Referee
+from iristrack.wire.messages import FOUNDED, MembersValue
 
 HEALING_NS = 10 * SECOND
 LAST_READ_LIMIT_NS = 10 * SECOND
 READER = "reader"
 STALLED_SHARE = 0.5
+MEMBER_CHANGE_WEIGHT = 8  # among the faults, where there are spare machines
+ADDED_SHARE = 0.3  # of the changes of the member set; the others replace a member
 WIPE_AFTER_STALL_NS = 100 * MILLISECOND
 
 
@@ -49,6 +54,7 @@
     """One kind of run; times are virtual nanoseconds, shares are weights among the faults."""
 
     acceptors: int = 3
+    spares: int = 0  # machines that may take a member's place, or stand beside all
     clients: int = 3
     keys: tuple[str, ...] = ("config", "versions")
     duration_ns: int = 8 * SECOND
@@ -98,12 +104,15 @@
             self.network,
             self._rng,
             self.figures,
-            members,
+            MembersValue(FOUNDED, members),
             scenario.keys,
             self.referee,
             scenario.planted,
+            changing_members=scenario.spares > 0,
         )
-        self.acceptors = [AcceptorHost(member, self._around) for member in members]
+        spares = [f"spare{index}" for index in range(scenario.spares)]
+        self.acceptors = [AcceptorHost(name, self._around) for name in (*members, *spares)]
+        self._changer = MemberChanger("changer", self._around) if spares else None
         self.clients = [Client(f"proposer{index}", self._around) for index in range(scenario.clients)]
         self._kinds = [kind for kind, _ in scenario.fault_weights]
         self._weights = [weight for _, weight in scenario.fault_weights]
@@ -156,11 +165,13 @@
         return True
 
     def _inject_wipe(self) -> bool:
-        unrecovered = sum(not host.disk.incarnation for host in self.acceptors)
-        if unrecovered >= (len(self.acceptors) - 1) // 2:
+        members = self._around.newest_set().members
+        unrecovered = sum(host.name in members and not host.disk.incarnation for host in self.acceptors)
+        changing = self._changer is not None and self._changer.may_change()
+        if unrecovered + changing >= (len(members) - 1) // 2:
             return False
         host = self._choose_running()
-        if host is None:
+        if host is None or host.name not in members:
             return False
         host.wipe()
         self._start_later(host)
@@ -225,22 +236,47 @@
         self._rng.choice(self.clients).restart()
         return True
 
+    def _inject_member_change(self) -> bool:
+        """Let a spare machine in, where all members but the one it replaces could vote."""
+        if self._changer is None:
+            return False
+        known = self._around.newest_set()
+        unrecovered = [h.name for h in self.acceptors if h.name in known.members and not h.disk.incarnation]
+        spares = [host.name for host in self.acceptors if host.up and host.name not in known.members]
+        if not spares or len(set(unrecovered) - {known.joining}) >= (len(known.members) - 1) // 2:
+            return False
+        proposed = self._draw_change(known, self._rng.choice(spares))
+        return proposed is not None and self._changer.begin(known, proposed)
+
+    def _draw_change(self, known: MembersValue, spare: str) -> MembersValue | None:
+        try:
+            if self._rng.random() < ADDED_SHARE and len(known.members) < self.scenario.acceptors + 2:
+                return added(known, spare)
+            return replaced(known, known.joining or self._rng.choice(known.members), spare)
+        except MemberSetError:
+            return None
+
     def _heal(self) -> None:
         """End all faults; those that were to end by themselves find nothing left to do."""
         self.network.faults = FAULTLESS
         for client in self.clients:
             client.stop()
+        if self._changer is not None:
+            self._changer.stop()
         longest = max(self.scenario.longest_fault_ns, self.scenario.longest_outage_ns)
         self.queue.run_until(self.queue.now + 2 * longest)
 
     def _read_last(self, key: str) -> None:
         deadline = self.queue.now + LAST_READ_LIMIT_NS
         proposer = Proposer(
-            ProposerIdentity(f"{READER}-{key}"), key, self._around.members, read_only, self._rng, deadline
-        )
-        self.network.attach(
-            READER, lambda _, message: self._perform_read(proposer.handle(message, self.queue.now))
+            ProposerIdentity(f"{READER}-{key}"),
+            key,
+            self._around.newest_set(),
+            read_only,
+            self._rng,
+            deadline,
         )
+        self.network.attach(READER, lambda _, message: self._perform_read(self._answered(proposer, message)))
         self._perform_read(proposer.start(self.queue.now))
         while proposer.result is None and self.queue.now < deadline:
             self.queue.run_until(self.queue.now + 100 * MILLISECOND)
@@ -250,12 +286,25 @@
         else:
             self.referee.violations.append(f"{key}: could not be read after all faults")
 
+    def _answered(self, proposer: Proposer, message: object) -> list[Effect]:
+        if isinstance(message, MembersValue):
+            return proposer.use(message, self.queue.now)
+        if message.members < proposer.member_sequence:
+            self.network.send(READER, message.acceptor, self._around.newest_set())
+        return proposer.handle(message, self.queue.now)
+
     def _perform_read(self, effects: list[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, SendTo):
                 self.network.send(READER, effect.member, effect.message)
 
 
+def with_member_changes(scenario: Scenario, spares: int) -> Scenario:
+    """The scenario with spare machines that are let into the member set while all else goes on."""
+    weights = (*scenario.fault_weights, ("member_change", MEMBER_CHANGE_WEIGHT))
+    return replace(scenario, spares=spares, fault_weights=weights)
+
+
 def run_seed(scenario: Scenario, seed: int) -> RunResult:
     """Run one seed of the scenario."""
     return Simulation(scenario, seed).run()
@@ -276,8 +325,11 @@
     parser.add_argument("--seeds", type=int, default=100, help="number of seeds to run")
     parser.add_argument("--first-seed", type=int, default=0)
     parser.add_argument("--acceptors", type=int, default=3)
+    parser.add_argument("--spares", type=int, default=0, help="machines that are let into the member set")
     options = parser.parse_args(arguments)
     scenario = Scenario(acceptors=options.acceptors)
+    if options.spares:
+        scenario = with_member_changes(scenario, options.spares)
     figures: Counter[str] = Counter()
     virtual_ns = 0
     violations = 0
--- a/iristrack/standin/system.py
+++ b/iristrack/standin/system.py
@@ -113,6 +113,15 @@
         self.edges.append(self._edge(len(self.edges)))
         return self.edges[-1]
 
+    def new_core(self) -> Machine:
+        """One more core machine, not started; its settings name core machines that run now as seeds."""
+        core = self._core(len(self.cores), self._block.next_ip())
+        running = [other.control for other in self.cores if other.running]
+        core.change_settings(bootstrap=False, seed_nodes=running[:MOST_SEEDS])
+        self.cores.append(core)
+        self.operator.addresses.append(core.control)
+        return core
+
     def add_model_servers(
         self, service: str, model: str, count: int, token_pause_s: float = 0.0
     ) -> list[ModelServer]:
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -75,10 +75,10 @@
 
 KINDS = (  # a number is never used again
     MessageKind(1, messages.Hello),
-    MessageKind(2, messages.Prepare),
-    MessageKind(3, messages.Promise),
-    MessageKind(4, messages.Accept),
-    MessageKind(5, messages.Accepted),
+    MessageKind(2, messages.Prepare, version=2),
+    MessageKind(3, messages.Promise, version=2),
+    MessageKind(4, messages.Accept, version=2),
+    MessageKind(5, messages.Accepted, version=2),
     MessageKind(6, messages.Subscribe, version=2),
     MessageKind(7, messages.Update),
     MessageKind(8, messages.Heartbeat),
@@ -86,7 +86,7 @@
     MessageKind(10, messages.ConfigurationValue),
     MessageKind(11, messages.VersionsValue),
     MessageKind(12, messages.DutyValue),
-    MessageKind(13, messages.MembersValue),
+    MessageKind(13, messages.MembersValue, version=2),
     MessageKind(14, messages.BusyServers, version=2),
     MessageKind(15, messages.ServerLoads, version=2),
     MessageKind(16, messages.ServersValue),
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -18,6 +18,8 @@
 
 
 NO_BALLOT = Ballot()
+UNFOUNDED = 0  # sequence of the member set that the seeds begin with,
+FOUNDED = 1  # and of the one that they agree on; each change raises it
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +42,7 @@
     call: int  # echoed by the answer
     key: str
     ballot: Ballot
+    members: int = FOUNDED  # sequence of the member set that the sender goes by
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +57,7 @@
     promised: Ballot  # the highest ballot promised; where `granted` is false, the one that forbade it
     accepted: Ballot  # NO_BALLOT where nothing was accepted
     value: bytes
+    members: int = FOUNDED  # sequence of the acceptor's member set; another than the sender's: not granted
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +69,7 @@
     ballot: Ballot
     incarnation: str  # of the acceptor that promised; "" where the promise was not from this acceptor
     value: bytes
+    members: int = FOUNDED
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +82,7 @@
     incarnation: str
     granted: bool
     promised: Ballot
+    members: int = FOUNDED
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,10 +188,11 @@
 
 @dataclass(frozen=True, slots=True)
 class MembersValue:
-    """The register's value of the acceptors: the inner addresses (ip:port) of all that vote."""
+    """A set of acceptors: the inner addresses (ip:port) of all that vote, but for one that has still to recover."""
 
     sequence: int
     members: tuple[str, ...] = ()
+    joining: str = ""  # the member that was let in last and has not read yet what the others hold
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/controlplane/test_founding.py
+++ b/tests/controlplane/test_founding.py
@@ -4,11 +4,10 @@
 
 from iristrack.controlplane import changes
 from iristrack.controlplane.founding import propose_members
-from iristrack.controlplane.register_host import FOUNDED, UNFOUNDED
 from iristrack.register import Committed, Unavailable, Unchanged
 from iristrack.relay import topics
 from iristrack.runtime.scheduler import clock
-from iristrack.wire.messages import MembersValue
+from iristrack.wire.messages import FOUNDED, UNFOUNDED, MembersValue
 from iristrack.wire.values import decode_value
 from tests.controlplane.test_operator_api import MEMBERS, Core
 
@@ -45,7 +44,7 @@
     def read() -> None:
         host = core.hosts[MEMBERS[0]]
         results.append(host.change(topics.CONFIGURATION, changes.unchanged, clock() + PATIENCE_NS))
-        host.found(MEMBERS, lambda: None)
+        host.follow(MembersValue(FOUNDED, MEMBERS), False, lambda: None)
         while not host.founded:
             core.scheduler.sleep(1_000_000)
         results.append(host.change(topics.CONFIGURATION, changes.unchanged, clock() + PATIENCE_NS))
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -18,7 +18,14 @@
 from iristrack.runtime.scheduler import Scheduler, clock
 from iristrack.store.cell_format import encode_record
 from iristrack.store.framing import TooLarge
-from iristrack.wire.messages import NO_BALLOT, ConfigurationValue, Update, VersionsValue
+from iristrack.wire.messages import (
+    FOUNDED,
+    NO_BALLOT,
+    ConfigurationValue,
+    MembersValue,
+    Update,
+    VersionsValue,
+)
 from iristrack.wire.values import decode_value, encode_value
 from tests.configuration.samples import encode, sample_document
 from tests.controlplane.calls import Log, message, replace_call, version_call
@@ -155,8 +162,10 @@
                 Log(),
             )
             host.rng = random.Random(name)
-            on_formed = (lambda host=host: host.found(MEMBERS, lambda: None)) if founded else lambda: None
-            host.form(MEMBERS, on_formed)
+            if founded:
+                host.follow(MembersValue(FOUNDED, MEMBERS), True, lambda: None)
+            else:
+                host.form(MEMBERS)
             self.hosts[name] = host
         self.apis = [make_api(host, self.told.append) for host in self.hosts.values()]
         self.run(lambda: self._wait_for_votes(founded))
@@ -172,12 +181,19 @@
                 return
 
             def reply(answer) -> None:
-                self.scheduler.call_at(clock(), self.hosts[sender].handle, answer, lambda _: None)
+                self.scheduler.call_at(clock(), self._deliver, sender, answer, lambda _: None)
 
-            self.scheduler.call_at(clock(), self.hosts[member].handle, message, reply)
+            self.scheduler.call_at(clock(), self._deliver, member, message, reply)
 
         return send
 
+    def _deliver(self, member: str, message, reply: Callable) -> None:
+        if isinstance(message, Update):
+            told = decode_value(message.value, MembersValue)
+            self.hosts[member].follow(told, False, lambda: None)
+        else:
+            self.hosts[member].handle(message, reply)
+
     def run(self, *calls: Callable[[], object]) -> list:
         results: list = [None] * len(calls)
         left = set(range(len(calls)))
--- /dev/null
+++ b/tests/register/test_member_set.py
@@ -0,0 +1,115 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from iristrack.register import (
+    Acceptor,
+    Finished,
+    MemberSetError,
+    Proposer,
+    ProposerIdentity,
+    Recovery,
+    Refuse,
+    SendTo,
+    Unchanged,
+    added,
+    change_members,
+    replaced,
+    settled,
+)
+from iristrack.register.member_set import MOST_MEMBERS, SET_DIFFERS
+from iristrack.simulation.register import Scenario, run_seed, with_member_changes
+from iristrack.wire.messages import FOUNDED, NO_BALLOT, Accept, Ballot, MembersValue, Prepare
+from iristrack.wire.values import decode_value, encode_value
+
+FIRST = MembersValue(FOUNDED, ("a", "b", "c"))
+
+
+def test_a_member_is_replaced_and_joins_until_the_set_is_settled() -> None:
+    joining = replaced(FIRST, "b", "d")
+    assert joining == MembersValue(2, ("a", "c", "d"), "d")
+    assert settled(joining) == MembersValue(3, ("a", "c", "d"))
+
+
+def test_a_joining_member_may_be_replaced_and_no_other() -> None:
+    joining = replaced(FIRST, "b", "d")
+    assert replaced(joining, "d", "e") == MembersValue(3, ("a", "c", "e"), "e")
+    for change in (lambda: replaced(joining, "a", "e"), lambda: added(joining, "e")):
+        with pytest.raises(MemberSetError):
+            change()
+
+
+@pytest.mark.parametrize(("old", "new"), [("z", "d"), ("a", "b"), ("a", "a")])
+def test_only_members_are_replaced_and_only_by_others(old: str, new: str) -> None:
+    with pytest.raises(MemberSetError):
+        replaced(FIRST, old, new)
+
+
+def test_a_set_has_a_bound() -> None:
+    members = FIRST
+    for index in range(MOST_MEMBERS - 3):
+        members = settled(added(members, f"more{index}"))
+    assert len(members.members) == MOST_MEMBERS
+    with pytest.raises(MemberSetError):
+        added(members, "one-more")
+    with pytest.raises(MemberSetError):
+        added(FIRST, "a")
+
+
+def test_a_set_is_changed_by_the_sequence_that_was_expected() -> None:
+    second = replaced(FIRST, "a", "d")
+    change = change_members(FIRST, second)
+    assert decode_value(change(b""), MembersValue) == second
+    assert change(encode_value(second)) == Unchanged()
+    other = replaced(FIRST, "b", "e")
+    assert change(encode_value(other)) == Refuse(SET_DIFFERS)
+    assert change_members(second, settled(second))(b"") == Refuse(SET_DIFFERS)
+
+
+def test_an_acceptor_answers_its_own_member_set_alone() -> None:
+    acceptor = Acceptor("a", "disk", {}, True, keys=("config",), member_sequence=2)
+    for sequence in (1, 3):
+        for outcome in (
+            acceptor.handle_prepare(Prepare(1, "config", Ballot(1, "p"), sequence)),
+            acceptor.handle_accept(Accept(2, "config", Ballot(1, "p"), "", b"v", sequence)),
+        ):
+            assert outcome.record is None
+            assert not outcome.reply.granted
+            assert outcome.reply.promised == NO_BALLOT
+            assert outcome.reply.members == 2
+    assert acceptor.handle_prepare(Prepare(3, "config", Ballot(1, "p"), 2)).reply.granted
+
+
+def test_a_proposer_begins_anew_with_a_newer_set_and_never_with_an_older_one() -> None:
+    proposer = Proposer(
+        ProposerIdentity("p"), "config", FIRST, lambda _: Unchanged(), random.Random(1), 10**12
+    )
+    proposer.start(0)
+    second = replaced(FIRST, "a", "d")
+    sent = [effect for effect in proposer.use(second, 1) if isinstance(effect, SendTo)]
+    assert {send.member for send in sent} == {"b", "c", "d"}
+    assert {send.message.members for send in sent} == {2}
+    assert proposer.use(FIRST, 2) == []
+
+
+def test_a_joining_member_of_two_recovers_from_the_other_one() -> None:
+    members = added(MembersValue(FOUNDED, ("a",)), "b")
+    other = Acceptor("a", "disk", {}, True, keys=("config",), member_sequence=members.sequence)
+    recovery = Recovery("b", ProposerIdentity("b-new"), members, ("config",), random.Random(1))
+    waiting = recovery.start(0)
+    finished = []
+    while waiting:
+        effect = waiting.pop(0)
+        if isinstance(effect, SendTo):
+            waiting.extend(recovery.handle(other.handle_prepare(effect.message).reply, 1))
+        elif isinstance(effect, Finished):
+            finished.append(effect)
+    assert len(finished) == 1
+
+
+def test_sets_change_and_settle_in_the_simulation() -> None:
+    figures = run_seed(with_member_changes(Scenario(), 3), 0).figures
+    assert figures["sets_changed"] > 0
+    assert figures["sets_settled"] > 0
--- a/tests/register/test_proposer.py
+++ b/tests/register/test_proposer.py
@@ -21,10 +21,20 @@
     Unavailable,
     Unchanged,
 )
-from iristrack.wire.messages import NO_BALLOT, Accept, Accepted, Ballot, Prepare, Promise
+from iristrack.wire.messages import (
+    FOUNDED,
+    NO_BALLOT,
+    Accept,
+    Accepted,
+    Ballot,
+    MembersValue,
+    Prepare,
+    Promise,
+)
 
 KEY = "config"
 MEMBERS = ("core0", "core1", "core2")
+MEMBER_SET = MembersValue(FOUNDED, MEMBERS)
 DEADLINE = 10_000_000_000
 PACE = Pace(attempt_timeout_ns=1_000, first_rest_ns=10, longest_rest_ns=100, most_attempts=4)
 
@@ -54,7 +64,7 @@
         identity = ProposerIdentity(name)
         if learned:
             identity.incarnations = {core.name: core.incarnation for core in self.acceptors.values()}
-        return Proposer(identity, KEY, MEMBERS, change, random.Random(1), deadline, PACE)
+        return Proposer(identity, KEY, MEMBER_SET, change, random.Random(1), deadline, PACE)
 
     def answer(self, send: SendTo) -> Promise | Accepted:
         core = self.acceptors[send.member]
@@ -277,7 +287,7 @@
 
 def test_two_changes_of_one_process_never_share_a_ballot_or_a_call() -> None:
     identity = ProposerIdentity("p")
-    made = [Proposer(identity, KEY, MEMBERS, read, random.Random(1), DEADLINE) for _ in range(2)]
+    made = [Proposer(identity, KEY, MEMBER_SET, read, random.Random(1), DEADLINE) for _ in range(2)]
     messages = [sends(proposer.start(0), Prepare)[0].message for proposer in made]
     assert messages[0].ballot != messages[1].ballot
     assert messages[0].call != messages[1].call
@@ -286,4 +296,4 @@
 @pytest.mark.parametrize(("key", "members"), [(RECOVERY_KEY, MEMBERS), (KEY, ()), (KEY, ("a", "a"))])
 def test_what_cannot_work_is_refused_at_once(key: str, members: tuple[str, ...]) -> None:
     with pytest.raises(ValueError):
-        Proposer(ProposerIdentity("p"), key, members, read, random.Random(1), DEADLINE)
+        Proposer(ProposerIdentity("p"), key, MembersValue(FOUNDED, members), read, random.Random(1), DEADLINE)
--- a/tests/register/test_recovery.py
+++ b/tests/register/test_recovery.py
@@ -22,12 +22,13 @@
     SetTimer,
     Unchanged,
 )
-from iristrack.wire.messages import NO_BALLOT, Accept, Ballot, Prepare
+from iristrack.wire.messages import FOUNDED, NO_BALLOT, Accept, Ballot, MembersValue, Prepare
 
 from .test_proposer import CompareAndSet, read
 
 KEYS = ("config", "versions")
 MEMBERS = ("core0", "core1", "core2")
+MEMBER_SET = MembersValue(FOUNDED, MEMBERS)
 LOST = "core0"
 OLD, NEW = Ballot(3, "p"), Ballot(5, "q")
 DEADLINE = 10**12
@@ -45,7 +46,14 @@
         }
 
     def recovery(self, pace: RecoveryPace = PACE) -> Recovery:
-        return Recovery(LOST, ProposerIdentity("core0-new"), self.members, KEYS, random.Random(1), pace)
+        return Recovery(
+            LOST,
+            ProposerIdentity("core0-new"),
+            MembersValue(FOUNDED, self.members),
+            KEYS,
+            random.Random(1),
+            pace,
+        )
 
     def answer(self, send: SendTo):
         core = self.acceptors[send.member]
@@ -172,7 +180,9 @@
 
 def test_two_members_are_too_few_to_recover() -> None:
     with pytest.raises(ValueError):
-        Recovery(LOST, ProposerIdentity("n"), ("core0", "core1"), KEYS, random.Random(1))
+        Recovery(
+            LOST, ProposerIdentity("n"), MembersValue(FOUNDED, ("core0", "core1")), KEYS, random.Random(1)
+        )
 
 
 def test_an_accept_from_before_the_loss_is_refused_after_it() -> None:
@@ -194,7 +204,7 @@
     group.lose_disk()
     group.recover()
     reader = Proposer(
-        ProposerIdentity("r"), "config", MEMBERS, lambda _: Unchanged(), random.Random(1), DEADLINE
+        ProposerIdentity("r"), "config", MEMBER_SET, lambda _: Unchanged(), random.Random(1), DEADLINE
     )
     effects = group.pump(reader, reader.start(0), silent=("core1",))
     while reader.result is None:
@@ -220,7 +230,7 @@
     identity = ProposerIdentity("slow")
     identity.incarnations = dict(known)
     identity.saw("config", Ballot(20, ""))
-    slow = kind(identity, "config", MEMBERS, CompareAndSet(b"", b"slow"), random.Random(1), DEADLINE)
+    slow = kind(identity, "config", MEMBER_SET, CompareAndSet(b"", b"slow"), random.Random(1), DEADLINE)
     to_lost, under_way, _ = slow.start(0)[:3]
     slow.handle(group.answer(to_lost), 1)
 
@@ -230,13 +240,13 @@
     quick_identity.saw("config", Ballot(10, ""))
     quick_identity.incarnations = {core.name: core.incarnation for core in group.acceptors.values()}
     quick = Proposer(
-        quick_identity, "config", MEMBERS, CompareAndSet(b"", b"quick"), random.Random(2), DEADLINE
+        quick_identity, "config", MEMBER_SET, CompareAndSet(b"", b"quick"), random.Random(2), DEADLINE
     )
     group.pump(quick, quick.start(1), silent=("core1",))
     assert isinstance(quick.result, Committed)
 
     group.pump(slow, slow.handle(group.answer(under_way), 2), silent=("core2",))
-    reader = Proposer(ProposerIdentity("reader"), "config", MEMBERS, read, random.Random(3), DEADLINE)
+    reader = Proposer(ProposerIdentity("reader"), "config", MEMBER_SET, read, random.Random(3), DEADLINE)
     effects = group.pump(reader, reader.start(3), silent=("core0",))
     while reader.result is None:
         effects = group.pump(reader, reader.on_timer(timer_of(effects)), silent=("core0",))
--- a/tests/register/test_swarm.py
+++ b/tests/register/test_swarm.py
@@ -5,7 +5,7 @@
 import pytest
 
 from iristrack.register import Proposer, Recovery
-from iristrack.simulation.register import Scenario, first_violation, main, run_seed
+from iristrack.simulation.register import Scenario, first_violation, main, run_seed, with_member_changes
 from iristrack.simulation.register_events import MILLISECOND, NetworkFaults
 from iristrack.simulation.register_nodes import Planted
 from iristrack.simulation.register_referee import Referee
@@ -29,8 +29,10 @@
         (Scenario(), range(200)),
         (Scenario(acceptors=5), range(60)),
         (STALLS_AND_WIPES, range(40)),
+        (with_member_changes(Scenario(), 3), range(150)),
+        (with_member_changes(Scenario(acceptors=5), 3), range(40)),
     ],
-    ids=["three", "five", "stalls_and_wipes"],
+    ids=["three", "five", "stalls_and_wipes", "member_changes", "member_changes_of_five"],
 )
 def test_no_seed_violates_the_history(scenario: Scenario, seeds: range) -> None:
     assert first_violation(scenario, seeds) is None
@@ -70,16 +72,33 @@
         return True
 
 
+MEMBER_CHANGES = with_member_changes(Scenario(), 3)
+NO_WIPES = replace(
+    MEMBER_CHANGES,
+    fault_weights=tuple(fault for fault in MEMBER_CHANGES.fault_weights if fault[0] != "wipe"),
+)
+
+
 @pytest.mark.parametrize(
     ("scenario", "planted"),
     [
+        (MEMBER_CHANGES, Planted(any_member_set=True)),
+        (NO_WIPES, Planted(vote_without_recovery=True)),
         (Scenario(), Planted(proposer=ShortQuorum)),
         (Scenario(), Planted(reply_before_sync=True)),
         (Scenario(), Planted(vote_without_recovery=True)),
         (Scenario(), Planted(recovery=ShortRecovery)),
         (STALLS_AND_WIPES, Planted(proposer=TrustsEveryPromise)),
     ],
-    ids=["short_quorum", "reply_before_sync", "amnesiac", "short_recovery", "unchecked_incarnation"],
+    ids=[
+        "any_member_set",
+        "joins_unrecovered",
+        "short_quorum",
+        "reply_before_sync",
+        "amnesiac",
+        "short_recovery",
+        "unchecked_incarnation",
+    ],
 )
 def test_a_planted_fault_is_found(scenario: Scenario, planted: Planted) -> None:
     assert first_violation(replace(scenario, planted=planted), range(100)) is not None
--- a/tests/system/test_core_losses.py
+++ b/tests/system/test_core_losses.py
@@ -12,7 +12,7 @@
 from iristrack.standin.operator import call_once, replace_call
 from iristrack.standin.system import System
 from iristrack.standin.waiting import wait_until
-from tests.system.scene import HOST, plain, start_usual, usual_configuration
+from tests.system.scene import CHAT, HOST, MODEL, plain, start_usual, usual_configuration
 
 VOTING = "event=voting"
 REPEATS = 3
@@ -231,3 +231,59 @@
     late.start()
     wait_voting(late, 1)
     assert newest(system, late) == version(1)
+
+
+def test_a_new_machine_takes_the_place_of_a_member_that_is_lost_for_good(system: System) -> None:
+    lost, second, third = system.cores
+    lost.kill()
+    spare = system.new_core()
+    spare.start()
+    wait_voting(spare, 1)
+    assert system.operator.replace(version(2), 1).status == 200
+    second.kill()  # two of the three that vote now are left, one of which was no member before
+    assert system.operator.replace(version(3), 2, first=spare.control).status == 200
+    wait_served(system, 3)
+    restart([lost])
+    wait_until(lambda: "event=retired" in lost.log(), "the end of the lost member's vote")
+    assert newest(system, lost) == version(3)
+    third.kill()  # the spare alone: what the retired member's disk holds counts for nothing
+    assert call_once(spare.control, replace_call(version(4), 3)).status == 503
+
+
+def test_members_are_exchanged_one_by_one_until_none_of_the_first_is_left(system: System) -> None:
+    for number, old in enumerate(list(system.cores)):
+        old.kill()
+        spare = system.new_core()
+        spare.start()
+        wait_voting(spare, 1)
+        assert system.operator.replace(version(2 + number), 1 + number).status == 200
+    wait_served(system, 4)
+    assert [core.running for core in system.cores] == [False] * 3 + [True] * 3
+    for core in system.cores[3:]:
+        core.kill()
+    restart(system.cores[3:])
+    assert newest(system, system.cores[-1]) == version(4)
+    assert system.operator.replace(version(5), 4).status == 200
+
+
+def test_a_core_machine_that_is_too_late_for_the_founding_is_let_in(new_system) -> None:
+    system = new_system(cores=5, edges=1)
+    *punctual, late = system.cores
+    system.add_model_servers(CHAT, MODEL, 1)
+    for machine in [*punctual, *system.edges]:
+        machine.start()
+    for core in punctual[:3]:
+        wait_voting(core, 1)
+    assert system.operator.replace(usual_configuration(1), 0).status == 200
+    late.start()
+    for core in (punctual[3], late):  # on a busy machine both are too late
+        wait_voting(core, 1)
+    for core in punctual[
+        :2
+    ]:  # three of five are a majority, three of four would be as well: so a third one goes
+        core.kill()
+    assert system.operator.replace(version(2), 1).status == 200
+    restart(punctual[:1])
+    system.wait_listening(punctual[:1])
+    punctual[2].kill()
+    assert system.operator.replace(version(3), 2).status == 200
