--- a/iristrack/controlplane/weights.py
+++ b/iristrack/controlplane/weights.py
@@ -31,7 +31,9 @@
 GIVE_UP_NS = 12_000 * NS_PER_MS  # an upgrade that takes longer is begun anew
 NO_ORDER_NS = 1500 * NS_PER_MS  # a server that takes no order for so long lets the others go first
 FENCE_SHIFT = 24  # the sequence of a holder's updates: its fence, then a counter
-METHOD = "wait"
+METHOD = (
+    "retain"  # streams go on: their parts stay under the salt of the old weights, where no new request looks
+)
 
 
 class WeightsDuty:
--- a/iristrack/engines/roll.py
+++ b/iristrack/engines/roll.py
@@ -1,7 +1,7 @@
 """Which servers take new weights when: a few at a time, so that the others go on serving.
 
-A server that was ordered to take weights turns new requests away until the running ones are done, so it is prepared
-first: long answers go elsewhere for a moment, and little is left to wait for when the order comes.
+A server that was ordered to take weights turns away what has not begun there until it has them, so it is prepared
+first: long answers go elsewhere for a moment, and little waits there when the order comes.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from iristrack.placement.servers import ListedServer
 
 AT_ONCE_SHARE = 0.4  # of the servers; more would make each load last longer, and leave too few to serve
-PREPARE_NS = 1_200_000_000
+PREPARE_NS = 200_000_000
 REST_NS = 3_000_000_000  # a server that took no order is left alone for so long
 
 
--- a/tests/placement/test_retry_budget.py
+++ b/tests/placement/test_retry_budget.py
@@ -69,3 +69,22 @@
     held = budget.tokens
     budget.share(1)
     assert budget.tokens == held
+
+
+def test_a_restart_of_all_sidecars_in_one_window_spends_what_the_unspent_part_of_the_ratio_covers() -> None:
+    sidecars, requests = 4, int(SLACK / RATIO)
+    spent = 0
+    for starts in range(2):
+        budgets = [RetryBudget(RATIO, SLACK, sidecars) for _ in range(sidecars)]
+        if not starts:  # the processes that end had been running for long
+            for budget in budgets:
+                for _ in range(1000):
+                    budget.earn()
+        for budget in budgets:
+            while budget.spend():
+                spent += 1
+        for number in range(requests // 2):
+            budgets[number % sidecars].earn()
+            while budgets[number % sidecars].spend():
+                spent += 1
+    assert SLACK < spent <= RATIO * requests + SLACK
--- a/tests/register/test_succession.py
+++ b/tests/register/test_succession.py
@@ -51,7 +51,9 @@
     succession = Succession()
     for now in range(0, 10 * SILENT_NS, SILENT_NS):
         assert succession.next_set(THREE, "a", SPARE, now) is None
-    last = 9 * SILENT_NS  # c counts as silent since then: before, it may have been this member that was cut off
+    last = (
+        9 * SILENT_NS
+    )  # c counts as silent since then: before, it may have been this member that was cut off
     assert succession.next_set(THREE, "ab", SPARE, last + SILENT_NS - 1) is None
     assert succession.next_set(THREE, "ab", SPARE, last + SILENT_NS) is not None
 
