--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -143,6 +143,7 @@
         began = clock()
         self._unread = pieces_to_read(self.prompt.at(server))
         server.began(self._unread)
+        self.prompt.begin_read(server)
         try:
             attempt.send(self._encode(server, cache))
             return self._take_answer(attempt, server, cache)
@@ -160,6 +161,8 @@
             if attempt.written:
                 self.tried.append(server)
             self._has_read(server)
+            if cache is not None:
+                self.prompt.end_read(server, cache.salt)
             server.ended()
             attempt.close()
 
@@ -209,6 +212,7 @@
             return True
         if request.model is not None and cache is not None and request.parts:
             self.plane.index.record_sent(server.address, cache.salt, request.model, request.parts, clock())
+            self.prompt.end_read(server, cache.salt)
         if request.streaming:
             self._pass_events(attempt, server)
         else:
--- a/iristrack/dataplane/load_reports.py
+++ b/iristrack/dataplane/load_reports.py
@@ -19,6 +19,8 @@
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.messages import ServerLoad, ServerLoads
 
+JUDGE_NS = 100_000_000  # between two looks at which servers fail too many requests
+
 
 class HubFinder(Protocol):
     """Knows the core member that sums loads."""
@@ -39,6 +41,7 @@
         self._total: dict[str, ServerLoad] = {}  # as the hub told, this sidecar's among them
         self._told_hub: PeerConnection | None = None
         self._heard_at = 0
+        self._judged_at = 0
         self._heard_count = 0  # the hub's number of the newest report that was followed
         plane.scheduler.call_at(clock() + self._interval, self._tick)
 
@@ -75,7 +78,9 @@
         if self._heard_at and now - self._heard_at > EXPIRY_NS:
             self._forget_others()
         own = {load.instance: load for load in self._own_loads(now)}
-        self.plane.servers.judge(now)
+        if now - self._judged_at >= JUDGE_NS:
+            self._judged_at = now
+            self.plane.servers.judge(now)
         self._tell(own, now)
         self.plane.scheduler.call_at(now + self._interval, self._tick)
 
--- a/iristrack/dataplane/prompt_parts.py
+++ b/iristrack/dataplane/prompt_parts.py
@@ -10,7 +10,9 @@
 from iristrack.placement.choice import Prompt
 from iristrack.placement.engines import cache_salt, store_of
 from iristrack.placement.servers import Server
-from iristrack.prefix_index.parts import shared_parts
+from iristrack.prefix_index.inflight import Expected
+from iristrack.prefix_index.parts import shared_parts, shared_tokens
+from iristrack.runtime.scheduler import clock
 
 LEAST_FETCH_TOKENS = 64  # fewer are read faster than they are moved
 
@@ -45,20 +47,26 @@
         self.request = request
         self.service = service
         self._covered: dict[str, dict[str, int]] = {}  # by salt, kept tokens by holder
+        self._expected: dict[str, Expected | None] = {}  # by salt
 
     def look_again(self) -> None:
         """Another attempt begins: what is kept may have changed."""
         self._covered.clear()
+        self._expected.clear()
 
     def at(self, server: Server) -> Prompt:
         """What the server would have to do with the prompt."""
         request = self.request
         if not request.parts or request.model is None:
             return Prompt(request.prompt_tokens, 0, 0)
-        kept = self._coverage(self._salt(server))
+        salt = self._salt(server)
+        kept = self._coverage(salt)
+        reading = self._being_read(salt)
         own = kept.get(server.address, 0)
+        if reading is not None and reading.holder == server.address:
+            own = max(own, reading.tokens)
         elsewhere = max((tokens for holder, tokens in kept.items() if holder != server.address), default=0)
-        return Prompt(request.prompt_tokens, own, elsewhere)
+        return Prompt(request.prompt_tokens, own, elsewhere, reading.tokens if reading is not None else 0)
 
     def cache_use(self, server: Server) -> CacheUse | None:
         """What the request is told of kept prompts; None where it names no model."""
@@ -98,5 +106,27 @@
             self._covered[salt] = known
         return known
 
+    def _being_read(self, salt: str) -> Expected | None:
+        """What a server is reading of the prompt for an earlier request of this sidecar."""
+        if salt not in self._expected:
+            reads = self.plane.first_reads
+            self._expected[salt] = reads.expected(salt, self.request.model, self.request.parts, clock())
+        return self._expected[salt]
+
+    def begin_read(self, server: Server) -> None:
+        """The request is sent to the server: what of its shared parts nobody keeps is read there for the first time."""
+        request = self.request
+        if request.model is None or not request.parts:
+            return
+        salt = self._salt(server)
+        if max(self._coverage(salt).values(), default=0) < shared_tokens(request.parts):
+            self.plane.first_reads.begin(salt, request.model, request.parts, server.address, clock())
+
+    def end_read(self, server: Server, salt: str) -> None:
+        """The parts are kept there from now on, or the attempt has failed."""
+        request = self.request
+        if request.model is not None and request.parts:
+            self.plane.first_reads.end(salt, request.model, request.parts, server.address)
+
     def _stores(self) -> list[str]:
         return [store.address for store in self.plane.active.stores]
--- a/iristrack/placement/choice.py
+++ b/iristrack/placement/choice.py
@@ -21,9 +21,7 @@
 FIRST_LEAD = (
     2.0  # pieces; a prefix that nobody keeps goes to the first of its ranking unless that is so much busier
 )
-SPILL_LOAD = (
-    12.0  # pieces; candidates that are busier than this share their requests with the rest of the ranking,
-)
+SPILL_LOAD = 24.0  # pieces; candidates that are busier than this share their requests with the rest,
 SPILL_GAIN = 4.0  # where that is so much less busy
 MOST_LOAD = 64.0  # pieces; a server that is busier would begin a request after its client has given it up
 
@@ -35,6 +33,7 @@
     tokens: int  # to be read where nothing is kept
     kept: int  # of them kept by the server
     elsewhere: int  # the most that another server or a store keeps
+    read_elsewhere: int = 0  # tokens that another server is reading just now, for an earlier request
 
     @property
     def unread(self) -> int:
@@ -46,6 +45,11 @@
         """Tokens that are moved there."""
         return max(0, self.elsewhere - self.kept)
 
+    @property
+    def read_again(self) -> int:
+        """Tokens that would be read there although another server is reading them."""
+        return max(0, self.read_elsewhere - max(self.kept, self.elsewhere))
+
 
 def pieces_to_read(prompt: Prompt) -> int:
     """Pieces of the prompt that the server has to read."""
@@ -64,10 +68,11 @@
     """How busy the server is, and what this prompt would add: in pieces of prompts and requests.
 
     Exception: requests are counted with the pieces of their prompts that are still to be read, the other sidecars'
-    as well where they have told of them, and the prompt at hand with what the server would have to read or fetch.
+    as well where they have told of them, and the prompt at hand with what the server would have to read or fetch. What
+    another server is reading already counts twice: to wait there costs nobody else anything.
     """
     moving = FETCH_PIECES + prompt.moved * FETCH_SHARE / PIECE_TOKENS if prompt.moved else 0.0
-    return server.load + prompt.unread / PIECE_TOKENS + moving
+    return server.load + (prompt.unread + prompt.read_again) / PIECE_TOKENS + moving
 
 
 def choose(
--- a/iristrack/prefix_index/inflight.py
+++ b/iristrack/prefix_index/inflight.py
@@ -28,6 +28,14 @@
     since: int
 
 
+@dataclass(frozen=True, slots=True)
+class Expected:
+    """The holder that will keep so many tokens of a prompt."""
+
+    holder: str
+    tokens: int
+
+
 class FirstReads:
     """At most `most_reads` beginnings of prompts that are being read; when full, the oldest are given up."""
 
@@ -61,6 +69,15 @@
                 return reader
         return None
 
+    def expected(self, salt: str, model: str, parts: Sequence[Part], now: int) -> Expected | None:
+        """Who will keep how much of the prompt's shared beginning, by what is being read."""
+        self._expire(now)
+        for prefix in _shared_prefixes(salt, model, parts):
+            reader = self._reads.get(prefix)
+            if reader is not None:
+                return Expected(reader.holder, sum(part.tokens for part in parts[: len(prefix[2])]))
+        return None
+
     def end(self, salt: str, model: str, parts: Sequence[Part], holder: str) -> None:
         """The holder no longer reads these parts: it keeps them, or the request failed."""
         for prefix in _shared_prefixes(salt, model, parts):
--- a/tests/dataplane/stand.py
+++ b/tests/dataplane/stand.py
@@ -320,6 +320,8 @@
     )
     stand = Stand(scheduler, plane, listener, failures)
     stand.configure(document())
+    budget = plane.budget("pool")
+    budget.tokens = budget.most  # as of a process that has been running for a while
     return stand
 
 
--- a/tests/prefix_index/test_inflight.py
+++ b/tests/prefix_index/test_inflight.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from iristrack.prefix_index.inflight import EXPIRY_NS, FirstReads, Reader
+from iristrack.prefix_index.inflight import EXPIRY_NS, Expected, FirstReads, Reader
 from iristrack.prefix_index.parts import Part
 
 A, B = "10.0.0.1:8080", "10.0.0.2:8080"
@@ -102,3 +102,14 @@
 def test_no_room_at_all_is_refused() -> None:
     with pytest.raises(ValueError):
         FirstReads(most_reads=0)
+
+
+def test_what_a_reader_will_keep_is_told_by_the_longest_beginning_that_it_reads() -> None:
+    reads = FirstReads()
+    assert reads.expected(SALT, MODEL, PROMPT, 0) is None
+    reads.begin(SALT, MODEL, (SYSTEM, OWN), A, 1)
+    assert reads.expected(SALT, MODEL, (SYSTEM, DOCUMENT, OTHERS_OWN), 2) == Expected(A, 800)
+    reads.begin(SALT, MODEL, (SYSTEM, DOCUMENT, OWN), B, 2)
+    assert reads.expected(SALT, MODEL, (SYSTEM, DOCUMENT, OTHERS_OWN), 3) == Expected(B, 1210)
+    assert reads.expected("v2", MODEL, PROMPT, 3) is None
+    assert reads.expected(SALT, MODEL, PROMPT, 3 + EXPIRY_NS) is None
