Name the settings file in what ends a start, and say plainly that none is named

Tried as a new user: a spoilt file gave 'document: cannot be read', a start without the variable ': cannot be read: Is a directory'.

--- a/iristrack/cli/settings_file.py
+++ b/iristrack/cli/settings_file.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from typing import NoReturn
 
 import structlog
 
@@ -47,17 +48,25 @@
     One line for all findings and exit code 2 where they cannot be used.
     """
     path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        _end(f"{SETTINGS_VARIABLE}: names no settings file")
     result = load_settings(path)
     if result.is_error():
-        told = "; ".join(f"{finding.place}: {finding.problem}" for finding in result.error)
-        print(f"iristrack: {told}", file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTINGS)
+        findings = [
+            f"{finding.place}: {finding.problem}" for finding in result.error if finding.place != path
+        ]
+        unreadable = [finding.problem for finding in result.error if finding.place == path]
+        _end(f"{path}: " + "; ".join(unreadable + findings))
     if result.ok.role != role:
-        print(f"iristrack: role: {result.ok.role!r} is not run by this program, {role!r} is", file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTINGS)
+        _end(f"{path}: role: {result.ok.role!r} is not run by this program, {role!r} is")
     return result.ok
 
 
+def _end(problem: str) -> NoReturn:
+    print(f"iristrack: {problem}", file=sys.stderr)
+    raise SystemExit(EXIT_BAD_SETTINGS)
+
+
 def reload_settings(log) -> Settings | None:
     """The settings as they are now; None, and a line in the log, where they cannot be used."""
     result = load_settings(os.environ.get(SETTINGS_VARIABLE, ""))
--- a/tests/system/test_lifecycle.py
+++ b/tests/system/test_lifecycle.py
@@ -185,6 +185,7 @@
     spoil, word = BAD_SETTINGS[name]
     spoil(machine)
     assert_unusable(machine, word)
+    assert machine.log().startswith(f"iristrack: {machine.settings_path}: ")
 
 
 @pytest.mark.parametrize("machine_class", CLASSES)
@@ -200,6 +201,7 @@
     )
     assert ended.returncode == EXIT_UNUSABLE
     assert len(ended.stderr.splitlines()) == 1, ended.stderr
+    assert SETTINGS_VARIABLE in ended.stderr
 
 
 @pytest.mark.parametrize("name", ["front_http", "readiness", "control_plane", "inner port"])
