Count no promise that was given under another member set

A program of before the sets, beside one of after, would promise whatever it is asked and tell no sequence (read as that of the first set): its promises do not count any more once the set has changed.

--- a/iristrack/register/proposer.py
+++ b/iristrack/register/proposer.py
@@ -160,6 +160,8 @@
         self._identity.incarnations[message.acceptor] = message.incarnation
         if message.call != self._call or message.key != self.key or message.acceptor not in self.members:
             return []
+        if message.members != self.member_sequence:
+            return []  # another set's vote: of an acceptor that is ahead, or of a program that knows no sets
         if isinstance(message, Promise) and self._phase is _Phase.PREPARING:
             return self._handle_promise(message, now)
         if isinstance(message, Accepted) and self._phase is _Phase.ACCEPTING:
--- a/iristrack/register/recovery.py
+++ b/iristrack/register/recovery.py
@@ -122,6 +122,8 @@
             return []
         if not message.granted and message.promised == NO_BALLOT:
             return []  # it does not vote
+        if message.members != self.member_sequence:
+            return []
         if message.call == self._announce_call:
             return self._handle_announced(message, now)
         read = self._reads.get(message.call)
--- a/iristrack/simulation/register_nodes.py
+++ b/iristrack/simulation/register_nodes.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from iristrack.register.acceptor import Acceptor, Cell, CellRecord, Outcome
 from iristrack.register.effects import Effect, Finished, SendTo, SetTimer
@@ -106,11 +106,21 @@
 
 
 class AnySetAcceptor(Acceptor):
-    """Takes messages of each member set: a planted fault."""
+    """Takes messages of each member set, and answers as one of that set: a planted fault."""
 
     def _votes_on(self, key: str, member_sequence: int) -> bool:
         return super()._votes_on(key, self.member_sequence)
 
+    def handle_prepare(self, prepare: Prepare) -> Outcome:
+        """Promise whatever set the sender goes by."""
+        outcome = super().handle_prepare(prepare)
+        return Outcome(outcome.record, replace(outcome.reply, members=prepare.members))
+
+    def handle_accept(self, accept: Accept) -> Outcome:
+        """Accept whatever set the sender goes by."""
+        outcome = super().handle_accept(accept)
+        return Outcome(outcome.record, replace(outcome.reply, members=accept.members))
+
 
 class AcceptorHost:
     """One core member: it writes records in order and releases each reply after them."""
--- a/tests/register/test_member_set.py
+++ b/tests/register/test_member_set.py
@@ -21,7 +21,7 @@
 )
 from iristrack.register.member_set import MOST_MEMBERS, SET_DIFFERS
 from iristrack.simulation.register import Scenario, run_seed, with_member_changes
-from iristrack.wire.messages import FOUNDED, NO_BALLOT, Accept, Ballot, MembersValue, Prepare
+from iristrack.wire.messages import FOUNDED, NO_BALLOT, Accept, Ballot, MembersValue, Prepare, Promise
 from iristrack.wire.values import decode_value, encode_value
 
 FIRST = MembersValue(FOUNDED, ("a", "b", "c"))
@@ -94,6 +94,21 @@
     assert proposer.use(FIRST, 2) == []
 
 
+def test_a_promise_under_another_set_does_not_count() -> None:
+    """A program that knows no sets promises whatever it is asked, and tells no sequence."""
+    members = settled(FIRST)
+    identity = ProposerIdentity("p")
+    identity.incarnations = dict.fromkeys(members.members, "disk")
+    proposer = Proposer(identity, "config", members, lambda _: Unchanged(), random.Random(1), 10**12)
+    prepare = next(effect.message for effect in proposer.start(0) if isinstance(effect, SendTo))
+    for acceptor in members.members:
+        granted = Promise(
+            prepare.call, "config", acceptor, "disk", True, prepare.ballot, NO_BALLOT, b"", FOUNDED
+        )
+        assert proposer.handle(granted, 1) == []
+    assert proposer.result is None
+
+
 def test_a_joining_member_of_two_recovers_from_the_other_one() -> None:
     members = added(MembersValue(FOUNDED, ("a",)), "b")
     other = Acceptor("a", "disk", {}, True, keys=("config",), member_sequence=members.sequence)
