--- a/tests/engines/test_roll.py
+++ b/tests/engines/test_roll.py
@@ -57,6 +57,17 @@
     assert list(roll.preparing) == ["i-02", "i-03"]
 
 
+def test_a_roll_is_under_way_from_the_first_preparation_to_the_last_end() -> None:
+    roll = Roll()
+    assert not roll.under_way
+    roll.next_orders(upgrades(1), SERVERS, 0)
+    assert roll.under_way  # prepared, none ordered
+    roll.next_orders(upgrades(1), SERVERS, PREPARE_NS)
+    assert roll.under_way and not roll.preparing  # ordered, none prepared
+    roll.ended("i-00")
+    assert not roll.under_way
+
+
 def test_a_prepared_server_waits_for_a_place() -> None:
     roll = Roll()
     wanted = upgrades(4)
--- a/tests/relay_topics/test_topics.py
+++ b/tests/relay_topics/test_topics.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from iristrack.relay.topics import MOST_TOPICS, TopicTable
+from iristrack.relay.topics import MEMBER_SET, MEMBERS, MOST_TOPICS, REGISTERS, TopicTable, topic_of
 from iristrack.wire.messages import Update, Version
 
 UPDATES = st.lists(
@@ -61,3 +61,9 @@
     assert not table.learn(Update("one more", 1, b""))
     assert table.learn(Update("topic-0", 2, b""))
     assert len(table.versions()) == MOST_TOPICS
+
+
+def test_later_member_sets_are_handed_on_under_the_topic_of_the_first() -> None:
+    told_as = {register: topic_of(register) for register in REGISTERS}
+    assert told_as.pop(MEMBER_SET) == MEMBERS
+    assert all(register == topic for register, topic in told_as.items())
