--- a/tests/placement/test_outcomes.py
+++ b/tests/placement/test_outcomes.py
@@ -58,3 +58,7 @@
     spared = [name for name, found in outcomes.items() if found.suspect and name not in out]
     assert not spared or len(out) == int(len(outcomes) * MOST_LEFT_OUT)
     assert all(share(name) <= share(worse) for name in spared for worse in out)
+
+
+def test_outcomes_of_two_sidecars_add_up() -> None:
+    assert Outcomes(3, 1).plus(Outcomes(2, 4)) == Outcomes(5, 5)
