--- a/tests/placement/test_retry_budget.py
+++ b/tests/placement/test_retry_budget.py
@@ -62,6 +62,13 @@
     assert earned >= 1 / RATIO - 1
 
 
+def test_one_whole_token_is_one_repeat() -> None:
+    budget = RetryBudget(RATIO, SLACK, 4)
+    budget.tokens = 1.0
+    assert budget.spend()
+    assert not budget.spend()
+
+
 def test_more_sidecars_take_from_each_at_once_and_fewer_give_nothing_for_nothing() -> None:
     budget = RetryBudget(RATIO, SLACK, 1)
     budget.share(13)
