Tell loads every 60 ms at 67 and 80 sidecars, and follow only what a report names

Now 20 ms only up to 29 sidecars, a partial report changes the servers that it names, and an idle server's outcomes cost nothing.

--- a/iristrack/dataplane/load_reports.py
+++ b/iristrack/dataplane/load_reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Protocol
 
 from iristrack.dataplane.state import PlaneState
@@ -15,6 +15,7 @@
 )
 from iristrack.placement.outcomes import NONE, Outcomes
 from iristrack.placement.report_stream import ReportStream
+from iristrack.placement.servers import Server
 from iristrack.runtime.scheduler import clock
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.messages import ServerLoad, ServerLoads
@@ -54,24 +55,32 @@
         self._heard_at = clock()
         if not message.partial:
             self._total = by_instance(message.loads)
+            changed = None
         elif message.count == self._heard_count + 1:
             apply_changes(self._total, message.loads)
+            changed = [load.instance for load in message.loads]
         else:
             return  # a report before it was left out: the next whole one counts
         self._heard_count = message.count
         self.plane.follow_sidecars(message.sidecars)
-        self._follow_others()
-
-    def _follow_others(self) -> None:
-        """Have each server know what is under way there but for this sidecar's own."""
-        for server in self.plane.servers.servers.values():
-            load = self._total.get(server.instance_id)
-            own = self._own.get(server.instance_id)
-            if load is not None and own is not None:
-                load = subtract_loads(load, own)
-            server.others_inflight = 0 if load is None else load.requests
-            server.others_unread_pieces = 0 if load is None else load.pieces
-            server.others_outcomes = NONE if load is None else Outcomes(load.answered, load.failed)
+        self._follow_others(changed)
+
+    def _follow_others(self, changed: Iterable[str] | None = None) -> None:
+        """Have servers know what is under way there but for this sidecar's own: those of these instances, or all."""
+        servers = self.plane.servers.servers
+        for instance in servers if changed is None else changed:
+            server = servers.get(instance)
+            if server is not None:
+                self._follow_server(server)
+
+    def _follow_server(self, server: Server) -> None:
+        load = self._total.get(server.instance_id)
+        own = self._own.get(server.instance_id)
+        if load is not None and own is not None:
+            load = subtract_loads(load, own)
+        server.others_inflight = 0 if load is None else load.requests
+        server.others_unread_pieces = 0 if load is None else load.pieces
+        server.others_outcomes = NONE if load is None else Outcomes(load.answered, load.failed)
 
     def _tick(self) -> None:
         now = clock()
--- a/iristrack/placement/loads.py
+++ b/iristrack/placement/loads.py
@@ -17,19 +17,14 @@
 REPEAT_NS = 400 * NS_PER_MS  # between two reports where nothing has changed
 WHOLE_NS = 2000 * NS_PER_MS  # between two whole reports
 MOST_SENDERS = 512
-FIRST_INTERVAL_NS = 20 * NS_PER_MS  # between two reports
-SIDECARS_PER_INTERVAL = 100  # a fleet of n times as many reports n x n times as rarely
+FIRST_INTERVAL_NS = 20 * NS_PER_MS  # between two reports of a small fleet
+SIDECARS_PER_INTERVAL = 30  # so many more sidecars add the first interval once more
 LONGEST_INTERVAL_NS = 500 * NS_PER_MS
 
 
 def report_interval(sidecars: int) -> int:
-    """Nanoseconds between two reports.
-
-    They get rarer faster than the fleet grows, as each sidecar is told what changed at all servers: their number and
-    that of the changes grow with it.
-    """
-    sizes = max(1, sidecars // SIDECARS_PER_INTERVAL)
-    return min(LONGEST_INTERVAL_NS, FIRST_INTERVAL_NS * sizes * sizes)
+    """Nanoseconds between two reports: rarer as the fleet grows, so that a sidecar's work for them does not grow."""
+    return min(LONGEST_INTERVAL_NS, FIRST_INTERVAL_NS * (1 + sidecars // SIDECARS_PER_INTERVAL))
 
 
 def add_loads(first: ServerLoad, second: ServerLoad) -> ServerLoad:
--- a/iristrack/placement/outcomes.py
+++ b/iristrack/placement/outcomes.py
@@ -59,6 +59,8 @@
 
     def total(self, now: int) -> Outcomes:
         """What has ended in the window."""
+        if now // BUCKET_NS - self._newest >= BUCKETS:
+            return NONE
         self._advance(now)
         return Outcomes(sum(self._answered), sum(self._failed))
 
