--- a/iristrack/placement/loads.py
+++ b/iristrack/placement/loads.py
@@ -18,7 +18,7 @@
 WHOLE_NS = 2000 * NS_PER_MS  # between two whole reports
 MOST_SENDERS = 512
 FIRST_INTERVAL_NS = 20 * NS_PER_MS  # between two reports of a small fleet
-SIDECARS_PER_INTERVAL = 30  # so many more sidecars add the first interval once more
+SIDECARS_PER_INTERVAL = 12  # so many more sidecars add the first interval once more
 LONGEST_INTERVAL_NS = 500 * NS_PER_MS
 
 
