--- a/tests/controlplane/test_load_hub.py
+++ b/tests/controlplane/test_load_hub.py
@@ -166,3 +166,14 @@
     clock.turn()
     assert old.take() == []
     assert as_dict(new.take()[-1]) == {"a": (6, 12)}
+
+
+def test_the_sidecars_of_all_members_are_counted_and_set_the_pace(clock: Clock) -> None:
+    hub, told = make(clock)
+    sidecar = Peer()
+    hub.from_sidecar(sidecar, loads("edge-1", 1, {"a": 1}))
+    hub.from_member(ServerLoads("core-2", 1, (ServerLoad("a", 1, 2),), sidecars=79))
+    clock.turn()
+    assert (told[-1].sidecars, sidecar.take()[-1].sidecars) == (1, 80)
+    ((due, _),) = clock.calls
+    assert due == clock.now + report_interval(80) > clock.now + report_interval(0)
