Announce changes to every sidecar, and take no member without a quorum for a hub

Cause: a sidecar's hub may stand on the minority's side of a cut of the core.

Change: - Members announce a change of configuration, weights or member set to those that they do not push to. - CatchUp has times of its own for each topic, asks 300 ms after the first word, and the next member 500 ms later. - A heartbeat tells whether its sender reaches a quorum (schema version 2); a hub without one is left for one with. - A sidecar counts as ready once a majority of the core has told versions since its start and none is newer than its own, instead of once it has connections to a majority; after 1.5 s without that, as before. - A control machine that has heard from no quorum for 1.2 s answers orders and reads with 503 at once and polls no list.

Ruled out: pushes from two members to each sidecar, as each value would cross 5 Mbit/s links twice.

--- a/iristrack/controlplane/distribution.py
+++ b/iristrack/controlplane/distribution.py
@@ -9,11 +9,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from iristrack.relay import topics
 from iristrack.relay.topics import TopicTable
 from iristrack.wire.codec import encode
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.messages import Heartbeat, Subscribe, Update, Version
 
+# Topics whose changes are announced to subscribers that another member pushes to.
+ANNOUNCED = frozenset({topics.CONFIGURATION, topics.VERSIONS, topics.MEMBERS})
 MOST_AHEAD = 32 * 1024  # bytes queued for a subscriber, above which changes wait for the newest
 
 
@@ -30,9 +33,14 @@
 class Distribution:
     """The topics of this process and those who follow them."""
 
-    def __init__(self, broadcast_to_core: Callable[[Update], None]) -> None:
-        """`broadcast_to_core` sends to the other core members."""
+    def __init__(
+        self,
+        broadcast_to_core: Callable[[Update], None],
+        announcement: Callable[[Update], Heartbeat],
+    ) -> None:
+        """`broadcast_to_core` sends to the other core members; `announcement` tells the version of an update."""
         self.topics = TopicTable()
+        self.announcement = announcement
         self.subscribers: dict[PeerConnection, Subscriber] = {}
         self.broadcast_to_core = broadcast_to_core
         self.on_learned: list[Callable[[Update], None]] = []
@@ -53,10 +61,23 @@
         for connection, subscriber in list(self.subscribers.items()):
             if subscriber.push and not subscriber.member:
                 self._offer(connection, subscriber, update)
+        self._announce(update)
         for call in self.on_learned:
             call(update)
         return True
 
+    def _announce(self, update: Update) -> None:
+        """Tell subscribers whose pushes come from another member that there is a newer version.
+
+        They ask here if that member does not push it in time (`relay/catch_up.py`).
+        """
+        if update.topic not in ANNOUNCED:
+            return
+        frame = encode(self.announcement(update))
+        for connection, subscriber in list(self.subscribers.items()):
+            if not subscriber.push:
+                connection.send_frame(frame)
+
     def subscribe(self, connection: PeerConnection, message: Subscribe, member: bool = False) -> None:
         """Tell a subscriber what it has missed and, where it wants pushes, everything from now on."""
         known = self.subscribers.get(connection)
--- a/iristrack/controlplane/list_poller.py
+++ b/iristrack/controlplane/list_poller.py
@@ -32,11 +32,17 @@
         provider: ProviderInterface | None,
         distribution: Distribution,
         is_first: Callable[[], bool],
+        in_quorum: Callable[[], bool],
     ) -> None:
-        """`is_first`: is this the first of the members that are connected? Starts with the next turn of the loop."""
+        """`is_first`: is this the first of the members that are connected? Starts with the next turn of the loop.
+
+        `in_quorum`: does this process reach a quorum? Whoever does not tells no list, which could outrank a newer one
+        that the others tell: sidecars take the higher sequence.
+        """
         self.scheduler = scheduler
         self.distribution = distribution
         self.is_first = is_first
+        self.in_quorum = in_quorum
         self._value = b""
         self._told_at = 0
         self._changed_at = 0
@@ -58,12 +64,15 @@
         while True:
             self.scheduler.sleep(TICK_NS)
             now = clock()
-            if now < next_at or not (self.is_first() or now - self._heard_at > STALE_NS):
+            if now < next_at or not self._is_due(now):
                 continue
             self._poll()
             fast = now - self._changed_at < FAST_FOR_NS
             next_at = now + (FAST_POLL_NS if fast else POLL_NS)
 
+    def _is_due(self, now: int) -> bool:
+        return self.in_quorum() and (self.is_first() or now - self._heard_at > STALE_NS)
+
     def _poll(self) -> None:
         try:
             value = encode_value(to_message(fetch_list(self._caller, clock() + CALL_NS)))
--- a/iristrack/controlplane/operator_api.py
+++ b/iristrack/controlplane/operator_api.py
@@ -119,8 +119,16 @@
 class OperatorApi:
     """Answers the operator's calls."""
 
-    def __init__(self, register: RegisterHost, publish: Publish, tell_status: TellStatus, log) -> None:
-        """`publish` tells everyone of a committed value."""
+    def __init__(
+        self,
+        register: RegisterHost,
+        publish: Publish,
+        tell_status: TellStatus,
+        in_quorum: Callable[[], bool],
+        log,
+    ) -> None:
+        """`publish` tells everyone of a committed value; `in_quorum`: has this process heard from a quorum lately?"""
+        self.in_quorum = in_quorum
         self.tell_status = tell_status
         self.register = register
         self.publish = publish
@@ -131,12 +139,14 @@
         command = decode_call(message)
         if isinstance(command, BadCall):
             return _findings(command)
+        if isinstance(command, ReadStatus):
+            return Response(200, json.dumps(self.tell_status(command.with_servers)).encode())
+        if not self.in_quorum():
+            return no_quorum()
         if isinstance(command, ReplaceConfiguration):
             return self._replace(command)
         if isinstance(command, NameVersion):
             return self._name_version(command)
-        if isinstance(command, ReadStatus):
-            return Response(200, json.dumps(self.tell_status(command.with_servers)).encode())
         return self._read()
 
     def _replace(self, command: ReplaceConfiguration) -> Response:
@@ -154,12 +164,12 @@
         if isinstance(result, Rejected | Overtaken):
             status = 412 if result.reason == changes.BASE_DIFFERS else 400
             return Response(status, json.dumps({"message": result.reason}).encode())
-        return Response(503, b'{"message":"no majority of the core answered"}', RETRY_AFTER)
+        return no_quorum()
 
     def _read(self) -> Response:
         result = self.register.change(topics.CONFIGURATION, changes.unchanged, clock() + CALL_NS)
         if not isinstance(result, Committed):
-            return Response(503, b'{"message":"no majority of the core answered"}', RETRY_AFTER)
+            return no_quorum()
         value = decode_value(result.value, ConfigurationValue)
         if value is None:
             return Response(404, b'{"message":"no configuration yet"}')
@@ -170,7 +180,7 @@
         change = changes.name_version(command.model, command.revision)
         result = self.register.change(topics.VERSIONS, change, clock() + CALL_NS)
         if not isinstance(result, Committed):
-            return Response(503, b'{"message":"no majority of the core answered"}', RETRY_AFTER)
+            return no_quorum()
         value = decode_value(result.value, VersionsValue)
         if value is not None:
             self.publish(Update(topics.VERSIONS, value.sequence, result.value))
@@ -184,6 +194,11 @@
                 self.publish(Update(topics.CONFIGURATION, value.sequence, result.value))
 
 
+def no_quorum() -> Response:
+    """No clear answer: it may or may not be taken, and is to be sent again, to any control machine."""
+    return Response(503, b'{"message":"no majority of the core answered"}', RETRY_AFTER)
+
+
 def _findings(call: BadCall) -> Response:
     rows = [{"place": f.place, "message": f.problem, "remedy": f.remedy} for f in call.findings]
     return Response(call.status, json.dumps({"findings": rows}).encode())
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -17,6 +17,7 @@
 from iristrack.controlplane.load_hub import LoadHub
 from iristrack.controlplane.member_changes import MemberChanges
 from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
+from iristrack.controlplane.quorum_contact import LATELY_NS, QuorumContact
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.controlplane.status import PeerBook, status_document
 from iristrack.controlplane.weights import WeightsDuty
@@ -45,6 +46,7 @@
     ServerLoads,
     Subscribe,
     Update,
+    Version,
     VersionsValue,
 )
 from iristrack.wire.values import decode_value, encode_value
@@ -86,7 +88,8 @@
         self.register = RegisterHost(
             self.scheduler, self.address, opened, self.sync, self._send, topics.REGISTERS, log
         )
-        self.distribution = Distribution(self.dialers.broadcast)
+        self.quorum = QuorumContact(self.register, self.dialers)
+        self.distribution = Distribution(self.dialers.broadcast, self._announcement)
         self.load_hub = LoadHub(self.scheduler, settings.node_name, self.dialers.broadcast)
         self.kept = KeptPrompts(self.scheduler, self.address, self._holders, self._connected)
         self.heartbeats = 0
@@ -104,7 +107,11 @@
         inner = (settings.ip, settings.port_range.first)
         self.peers = PeerListener(self.scheduler, inner, self._on_socket)
         api = OperatorApi(
-            self.register, self.distribution.publish, lambda servers: status_document(self, servers), self.log
+            self.register,
+            self.distribution.publish,
+            lambda servers: status_document(self, servers),
+            self.quorum.holds,
+            self.log,
         )
         bind = settings.bind.control_plane
         self.server = HttpServer(self.scheduler, (bind.host, bind.port), api.answer, MOST_BODY)
@@ -134,7 +141,9 @@
             self._publish_members,
             self.log,
         )
-        ListPoller(self.scheduler, settings.provider_api, self.distribution, self._is_first)
+        ListPoller(
+            self.scheduler, settings.provider_api, self.distribution, self._is_first, self.quorum.holds
+        )
         self.scheduler.spawn("learner", self._learn_loop)
 
     def run(self, signals: socket.socket) -> None:
@@ -170,8 +179,8 @@
         self.dialers.follow(wanted - {self.address})
 
     def _is_first(self) -> bool:
-        """Is this the first of the members that it is connected with?"""
-        return min(self._connected(), default="") == self.address
+        """Is this the first of the members that it is connected with, and in a quorum with them?"""
+        return self.quorum.holds() and min(self._connected(), default="") == self.address
 
     def _connected(self) -> list[str]:
         """The members that this process is connected with, itself among them where it is one."""
@@ -196,7 +205,13 @@
         return self.settings.bootstrap and self.address in self._seeds()
 
     def _reporting_core(self) -> set[str]:
-        return {hello.address for _, hello in self.peer_book.open() if hello.role == CORE_ROLE}
+        """All core machines that have said something lately."""
+        least = clock() - LATELY_NS
+        return {
+            hello.address
+            for connection, hello in self.peer_book.open()
+            if hello.role == CORE_ROLE and connection.heard_at >= least
+        }
 
     def _publish_members(self, members: MembersValue) -> None:
         self.distribution.publish(Update(topics.MEMBERS, members.sequence, encode_value(members)))
@@ -229,9 +244,14 @@
 
     def _heartbeat(self) -> Heartbeat:
         self.heartbeats += 1
-        return Heartbeat(
-            self.settings.node_name, self.process, self.heartbeats, self.distribution.topics.versions()
-        )
+        return self._tell(self.distribution.topics.versions())
+
+    def _announcement(self, update: Update) -> Heartbeat:
+        """The version of one topic that has just changed."""
+        return self._tell((Version(update.topic, update.sequence),))
+
+    def _tell(self, known: tuple[Version, ...]) -> Heartbeat:
+        return Heartbeat(self.settings.node_name, self.process, self.heartbeats, known, self.quorum.holds())
 
     def _send(self, member: str, message: Message) -> None:
         self.dialers.send(member, message)
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -1,4 +1,9 @@
-"""The data plane's side of updates: subscribed to every core member, the newest value of each topic counts."""
+"""The data plane's side of updates: subscribed to every core member, the newest value of each topic counts.
+
+The hub pushes changes. The other members announce them, and what the hub does not push in time is asked for at one of
+these (`relay/catch_up.py`): a change is in force here soon after any member that this sidecar reaches has learned of
+it, whatever the hub does.
+"""
 
 from __future__ import annotations
 
@@ -6,13 +11,14 @@
 from collections.abc import Callable
 
 from iristrack.configuration.document import parse_configuration
+from iristrack.dataplane.core_view import CoreView
 from iristrack.dataplane.discovery import ListFollower
 from iristrack.dataplane.load_reports import LoadReporter
 from iristrack.dataplane.state import ActiveConfiguration, ModelVersion, PlaneState
 from iristrack.relay import topics
-from iristrack.relay.catch_up import WAIT_NS, CatchUp
+from iristrack.relay.catch_up import CatchUp
 from iristrack.relay.topics import TopicTable
-from iristrack.runtime.scheduler import clock
+from iristrack.runtime.scheduler import Timer, clock
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.dialing import HEARTBEAT_NS, DialerSet
 from iristrack.wire.messages import (
@@ -48,8 +54,9 @@
         self.catch_up = CatchUp()
         self.process = secrets.token_hex(6)
         self.heartbeats = 0
-        self.zones: dict[PeerConnection, str] = {}  # of the core members at the other ends
+        self.core = CoreView(plane.settings.zone, topics.CONFIGURATION)
         self._hub: PeerConnection | None = None
+        self._ask_timer: Timer | None = None
         self.on_configuration: Callable[[], None] = lambda: None
         self.loads = LoadReporter(plane, self)
         self._busy: set[str] = set()
@@ -74,9 +81,20 @@
         """Dial the members that are known, and the seeds of the settings."""
         settings = self.plane.settings
         seeds = {f"{seed.host}:{settings.port_range.first}" for seed in settings.seed_nodes}
+        self.dialers.follow(seeds | set(self._members()))
+
+    def _members(self) -> tuple[str, ...]:
+        """The inner addresses of the newest known member set; empty while none is known."""
         update = self.topics.get(topics.MEMBERS)
-        members = decode_value(update.value, MembersValue) if update is not None else None
-        self.dialers.follow(seeds | set(members.members if members is not None else ()))
+        told = decode_value(update.value, MembersValue) if update is not None else None
+        return () if told is None else told.members
+
+    @property
+    def configuration_confirmed(self) -> bool:
+        """Is no configuration newer than the one in force, as a majority of the core has told?"""
+        update = self.topics.get(topics.CONFIGURATION)
+        members = self._members() or tuple(self.dialers.dialers)
+        return update is not None and self.core.is_confirmed(update.sequence, members)
 
     def _hello(self) -> Hello:
         settings = self.plane.settings
@@ -96,11 +114,11 @@
 
     def _subscribe(self, connection: PeerConnection) -> None:
         """Have the hub push what changes; the others send what is missed now, and later what is asked for."""
-        push = connection is self.hub()
+        push = connection is self.core.choose_hub()
         connection.send(Subscribe(self.topics.versions(), push))
 
     def _choose_hub(self) -> None:
-        hub = self.hub()
+        hub = self.core.choose_hub()
         if hub is not self._hub:
             before, self._hub = self._hub, hub
             for connection in (before, hub):
@@ -123,26 +141,36 @@
         elif isinstance(message, Heartbeat):
             self._on_heartbeat(connection, message)
         elif isinstance(message, Hello):
-            self.zones[connection] = message.zone
+            self.core.met(connection, message)
             self._choose_hub()
 
     def _on_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
-        """A member tells how new its topics are: what the hub does not push in time is asked for here."""
-        now = clock()
-        if connection is not self._hub and self.catch_up.heard(self.topics.versions(), message.known, now):
-            self.plane.scheduler.call_at(now + WAIT_NS, self._ask, connection)
-
-    def _ask(self, connection: PeerConnection) -> None:
+        """A member tells how new its topics are: what the hub does not push in time is asked for."""
+        self.core.heard(connection, message)
+        self._choose_hub()
+        if connection is not self._hub:
+            self.catch_up.heard(connection, self.topics.versions(), message.known, clock())
+            self._set_ask_timer()
+
+    def _ask(self) -> None:
+        """Ask the members whose turn it is for what is missing here."""
+        self._ask_timer = None
         known = self.topics.versions()
-        if connection is not self._hub and not connection.closed and self.catch_up.is_due(known, clock()):
-            connection.send(Subscribe(known, push=False))
+        for connection in self.catch_up.take_due(known, clock()):
+            if connection.closed:
+                self.catch_up.lost(connection)
+            elif connection is not self._hub:  # the hub sends what it has by itself
+                connection.send(Subscribe(known, push=False))
+        self._set_ask_timer()
+
+    def _set_ask_timer(self) -> None:
+        due = self.catch_up.next_due()
+        if self._ask_timer is None and due is not None:
+            self._ask_timer = self.plane.scheduler.call_at(due, self._ask)
 
     def hub(self) -> PeerConnection | None:
-        """The core member that sums loads for this zone: one in the zone where there is one, else any."""
-        self.zones = {c: zone for c, zone in self.zones.items() if not c.closed}
-        zone = self.plane.settings.zone
-        near = [c for c, told in self.zones.items() if told == zone]
-        return near[0] if near else next(iter(self.zones), None)
+        """The core member that pushes changes here and sums loads, None while there is none."""
+        return self.core.choose_hub()
 
     def _on_configuration(self, value: bytes) -> None:
         told = decode_value(value, ConfigurationValue)
--- a/iristrack/dataplane/program.py
+++ b/iristrack/dataplane/program.py
@@ -29,9 +29,8 @@
 UNREADY_NS = 2500 * NS_PER_MS  # new clients come for so long after readiness is withdrawn
 END_MARGIN_NS = 600 * NS_PER_MS  # before the grace ends
 REPORT_NS = 10 * NS_PER_S
-SETTLE_NS = (
-    1500 * NS_PER_MS
-)  # ready without a majority of the core at the latest so long after the configuration
+# So long after its first configuration a sidecar serves by it though no majority of the core has confirmed it.
+UNCONFIRMED_NS = 1500 * NS_PER_MS
 
 
 class DataPlane:
@@ -52,6 +51,7 @@
         self.listener: ClientListener | None = None
         self.readiness: HttpServer | None = None
         self._configured_at: int | None = None
+        self._confirmed = False
 
     def start(self) -> None:
         """Listen and dial; raises `OSError` where an address cannot be had."""
@@ -95,15 +95,17 @@
 
     @property
     def ready(self) -> bool:
-        """Does it take clients: with a configuration that is as new as any, and servers to send to?"""
+        """Does it take clients: with servers to send to, and a configuration that a majority of the core confirms?
+
+        Where no majority can be heard, the newest configuration that can be had counts after `UNCONFIRMED_NS`.
+        """
         if self.plane.draining or self.plane.active is None or not self.plane.servers.known:
             return False
         now = clock()
         if self._configured_at is None:
             self._configured_at = now
-        members = max(1, len(self.control.dialers.dialers))
-        heard = self.control.dialers.connected()
-        return heard >= members // 2 + 1 or now - self._configured_at > SETTLE_NS
+        self._confirmed = self._confirmed or self.control.configuration_confirmed
+        return self._confirmed or now - self._configured_at > UNCONFIRMED_NS
 
     # ---- signals
 
--- a/iristrack/relay/catch_up.py
+++ b/iristrack/relay/catch_up.py
@@ -1,20 +1,50 @@
 """When a sidecar asks another core member for what its hub did not push.
 
-Every heartbeat of a core member tells how new its topics are. A value that the hub has not pushed within `WAIT_NS`
-after it was first heard of is asked for once, where it was heard of, and after `AGAIN_NS` once more, so that a slow
-link is not filled with copies of one value.
+Core members announce each change, and every heartbeat of theirs tells how new their topics are. A version that the hub
+has not pushed within `WAIT_NS` after it was first heard of is asked for at a member that told of it; after `NEXT_NS`
+without it another such member is asked, and the same one after `AGAIN_NS`, so that a slow link is not filled with
+copies of one value. Each topic has its own times: a topic that was asked for does not hold up another one.
+
+Times are in nanoseconds. A source is whatever the host names a connection by; it must be hashable.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
+from dataclasses import dataclass, field
 
 from iristrack.wire.messages import Version
 
 NS_PER_MS = 1_000_000
-WAIT_NS = 400 * NS_PER_MS
+WAIT_NS = 300 * NS_PER_MS
+NEXT_NS = 500 * NS_PER_MS
 AGAIN_NS = 1500 * NS_PER_MS
 MOST_TOPICS = 64
+MOST_SOURCES = 16  # of one topic
+
+Source = Hashable
+
+
+@dataclass(slots=True)
+class Missing:
+    """A topic that is newer elsewhere than here."""
+
+    sequence: int  # the highest that was told
+    since: int  # when the first newer version was heard of
+    asked: dict[Source, int | None] = field(default_factory=dict)  # by source: when it was asked last
+
+    def next_due(self) -> int:
+        """When a source is to be asked, if it is still missing then."""
+        times = [at for at in self.asked.values() if at is not None]
+        if not times:
+            return self.since + WAIT_NS
+        if len(times) < len(self.asked):
+            return max(times) + NEXT_NS
+        return max(max(times) + NEXT_NS, min(times) + AGAIN_NS)
+
+    def choose_source(self) -> Source:
+        """One that was not asked, else the one that was asked longest ago."""
+        return min(self.asked, key=lambda source: -1 if self.asked[source] is None else self.asked[source])
 
 
 class CatchUp:
@@ -22,34 +52,50 @@
 
     def __init__(self) -> None:
         """Nothing is."""
-        self._missing: dict[
-            str, tuple[int, int]
-        ] = {}  # by topic: the sequence, and when it was first heard of
-        self._asked_at: int | None = None
+        self._missing: dict[str, Missing] = {}
 
-    def heard(self, here: Iterable[Version], told: Iterable[Version], now: int) -> bool:
-        """A member told how new its topics are; whether anything is missing here."""
-        known = {version.topic: version.sequence for version in here}
-        self._drop_known(known)
+    def heard(self, source: Source, here: Iterable[Version], told: Iterable[Version], now: int) -> None:
+        """A member told how new its topics are, of all or of some."""
+        known = self._drop_known(here)
         for version in told:
-            missing = version.sequence > known.get(version.topic, -1)
-            if missing and version.topic not in self._missing and len(self._missing) < MOST_TOPICS:
-                self._missing[version.topic] = (version.sequence, now)
-        return bool(self._missing)
-
-    def is_due(self, here: Iterable[Version], now: int) -> bool:
-        """Is it time to ask the member that was just heard?"""
-        self._drop_known({version.topic: version.sequence for version in here})
-        if self._asked_at is not None and now - self._asked_at < AGAIN_NS:
-            return False
-        if not any(now - since >= WAIT_NS for _, since in self._missing.values()):
-            return False
-        self._asked_at = now
-        return True
-
-    def _drop_known(self, known: dict[str, int]) -> None:
+            if version.sequence <= known.get(version.topic, -1):
+                continue
+            missing = self._missing.get(version.topic)
+            if missing is None:
+                if len(self._missing) >= MOST_TOPICS:
+                    continue
+                missing = self._missing[version.topic] = Missing(version.sequence, now)
+            missing.sequence = max(missing.sequence, version.sequence)
+            if len(missing.asked) < MOST_SOURCES:
+                missing.asked.setdefault(source, None)
+
+    def lost(self, source: Source) -> None:
+        """The connection to a member has ended: it is asked no more."""
+        for missing in self._missing.values():
+            missing.asked.pop(source, None)
+        self._missing = {topic: missing for topic, missing in self._missing.items() if missing.asked}
+
+    def take_due(self, here: Iterable[Version], now: int) -> set[Source]:
+        """The members to be asked now; an answer brings all topics that are newer there."""
+        self._drop_known(here)
+        due = set()
+        for missing in self._missing.values():
+            if missing.next_due() <= now:
+                source = missing.choose_source()
+                missing.asked[source] = now
+                due.add(source)
+        return due
+
+    def next_due(self) -> int | None:
+        """When `take_due` is to be called next, None while nothing is missing."""
+        return min((missing.next_due() for missing in self._missing.values()), default=None)
+
+    def _drop_known(self, here: Iterable[Version]) -> dict[str, int]:
+        """Forget what has come, and whom it was asked of: the wait for a newer version begins anew."""
+        known = {version.topic: version.sequence for version in here}
         self._missing = {
-            topic: (sequence, since)
-            for topic, (sequence, since) in self._missing.items()
-            if known.get(topic, -1) < sequence
+            topic: missing
+            for topic, missing in self._missing.items()
+            if known.get(topic, -1) < missing.sequence
         }
+        return known
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -81,7 +81,7 @@
     MessageKind(5, messages.Accepted, version=2),
     MessageKind(6, messages.Subscribe, version=2),
     MessageKind(7, messages.Update),
-    MessageKind(8, messages.Heartbeat),
+    MessageKind(8, messages.Heartbeat, version=2),
     MessageKind(9, messages.View),
     MessageKind(10, messages.ConfigurationValue),
     MessageKind(11, messages.VersionsValue),
--- a/iristrack/wire/dialing.py
+++ b/iristrack/wire/dialing.py
@@ -58,6 +58,10 @@
         """Is there a connection on which the peer has spoken lately?"""
         return self.connection is not None
 
+    def heard_within(self, ns: int) -> bool:
+        """Has the peer answered on this connection so lately?"""
+        return self.connection is not None and clock() - self.connection.heard_at <= ns
+
     def send(self, message: Message) -> bool:
         """Send over the present connection; false where there is none."""
         if self.connection is None:
@@ -143,6 +147,10 @@
         for dialer in self.dialers.values():
             dialer.send(message)
 
+    def heard_within(self, ns: int) -> list[str]:
+        """The addresses that have answered so lately."""
+        return [address for address, dialer in self.dialers.items() if dialer.heard_within(ns)]
+
     def connected(self) -> int:
         """How many have a connection."""
         return sum(dialer.connected for dialer in self.dialers.values())
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -117,7 +117,8 @@
     node: str
     process: str
     count: int
-    known: tuple[Version, ...] = ()
+    known: tuple[Version, ...] = ()  # of all topics, or of those that have just changed
+    in_quorum: bool = True  # does a core member reach a quorum of the member set? True from all others
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/controlplane/peers.py
+++ b/tests/controlplane/peers.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 from iristrack.wire.codec import FrameReader, encode
-from iristrack.wire.messages import Message
+from iristrack.wire.messages import Heartbeat, Message, Update, Version
+
+
+def announcement(update: Update) -> Heartbeat:
+    return Heartbeat("n", "p", 1, (Version(update.topic, update.sequence),))
 
 
 class Peer:
--- a/tests/controlplane/test_distribution.py
+++ b/tests/controlplane/test_distribution.py
@@ -4,20 +4,34 @@
 from hypothesis import strategies as st
 
 from iristrack.controlplane.distribution import MOST_AHEAD, Distribution
+from iristrack.relay import topics
 from iristrack.relay.topics import TopicTable
 from iristrack.wire.messages import Heartbeat, Subscribe, Update, Version
-from tests.controlplane.peers import Peer
+from tests.controlplane.peers import Peer, announcement
 
 
 def make() -> tuple[Distribution, list[Update]]:
     told: list[Update] = []
-    return Distribution(told.append), told
+    return Distribution(told.append, announcement), told
 
 
 def update(topic: str, sequence: int) -> Update:
     return Update(topic, sequence, b"%d" % sequence)
 
 
+def test_a_change_is_announced_to_those_whom_another_member_pushes_to() -> None:
+    distribution, _ = make()
+    pushed, other = Peer(), Peer()
+    distribution.subscribe(pushed, Subscribe(()))
+    distribution.subscribe(other, Subscribe((), push=False))
+    distribution.hear(update(topics.CONFIGURATION, 3))
+    distribution.hear(update("often", 1))
+    assert pushed.take() == [update(topics.CONFIGURATION, 3), update("often", 1)]
+    assert other.take() == [heartbeat(Version(topics.CONFIGURATION, 3))]
+    distribution.hear(update(topics.CONFIGURATION, 2))
+    assert other.take() == []
+
+
 def heartbeat(*known: Version) -> Heartbeat:
     return Heartbeat("n", "p", 1, known)
 
--- a/tests/controlplane/test_list_poller.py
+++ b/tests/controlplane/test_list_poller.py
@@ -15,7 +15,7 @@
 from iristrack.settings import Address, ProviderInterface
 from iristrack.wire.messages import Heartbeat, ServersValue, Subscribe, Update, Version
 from iristrack.wire.values import decode_value
-from tests.controlplane.peers import Peer
+from tests.controlplane.peers import Peer, announcement
 from tests.http1.calls import Loop, StandInServer
 
 MS = 1_000_000
@@ -48,10 +48,13 @@
         self.loop = Loop()
         self.platform = Platform(self.loop, *answers)
         self.told: list[Update] = []
-        self.distribution = Distribution(self.told.append)
+        self.distribution = Distribution(self.told.append, announcement)
         self.first = first
+        self.in_quorum = True
         provider = ProviderInterface(Address(*self.platform.server.address), 1.0, (), 0)
-        ListPoller(self.loop.scheduler, provider, self.distribution, lambda: self.first)
+        ListPoller(
+            self.loop.scheduler, provider, self.distribution, lambda: self.first, lambda: self.in_quorum
+        )
 
     def turn_while(self, holds) -> None:
         self.loop.run(lambda: self.loop.turn_while(holds))
@@ -106,6 +109,17 @@
     assert polled.names(polled.told[0]) == ["i-1"]
 
 
+def test_who_reaches_no_quorum_tells_no_list(monkeypatch) -> None:
+    monkeypatch.setattr(list_poller, "STALE_NS", 0)
+    polled = Polled(page("i-1"))
+    polled.in_quorum = False
+    end = polled.loop.scheduler.turns + 200
+    polled.turn_while(lambda: polled.loop.scheduler.turns < end)
+    assert polled.platform.server.opened == 0
+    polled.in_quorum = True
+    polled.turn_while(lambda: not polled.told)
+
+
 def test_a_core_that_begins_anew_is_believed_by_those_who_remember_its_lists() -> None:
     """All members were restarted; the data planes still hold a list of a much higher sequence."""
     polled = Polled(page("i-1"))
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -39,11 +39,13 @@
 STATUS = {"node": "core-1"}
 
 
-def make_api(register, publish) -> OperatorApi:
+def make_api(register, publish, in_quorum=lambda: True) -> OperatorApi:
     def tell_status(with_servers: bool) -> dict:
         return STATUS | {"servers": with_servers}
 
-    return OperatorApi(register=register, publish=publish, tell_status=tell_status, log=Log())
+    return OperatorApi(
+        register=register, publish=publish, tell_status=tell_status, in_quorum=in_quorum, log=Log()
+    )
 
 
 # ---- results and their answers
@@ -86,6 +88,22 @@
     assert (b"Retry-After" in response.lines) == (status == 503)
 
 
+@pytest.mark.parametrize("call", [READ, REPLACE, NAME])
+def test_without_a_quorum_lately_no_register_is_asked_and_there_is_no_clear_answer(call) -> None:
+    def change(key, change, deadline):
+        raise AssertionError("the register was asked")
+
+    api = make_api(SimpleNamespace(change=change), lambda update: None, in_quorum=lambda: False)
+    response = api.answer(call)
+    assert response.status == 503
+    assert b"Retry-After" in response.lines
+
+
+def test_an_invalid_order_is_refused_also_without_a_quorum() -> None:
+    api = make_api(SimpleNamespace(), lambda update: None, in_quorum=lambda: False)
+    assert api.answer(replace_call(b"{")).status == 400
+
+
 def test_reading_gives_the_body_as_it_was_sent() -> None:
     response, _ = answer(Committed(encode_value(ConfigurationValue(4, 7, BODY)), NO_BALLOT), READ)
     assert response.body == BODY
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -199,8 +199,8 @@
     [
         framed(60_000, 1, b"of a later program"),
         framed(8, 0, encode(messages.Heartbeat("n", "p", 1))[8:]),
-        framed(8, 1, encode(messages.Heartbeat("n", "p", 1))[8:] + b"\0"),
-        framed(8, 1, encode(messages.Heartbeat("n", "p", 1))[8:-1]),
+        framed(8, 2, encode(messages.Heartbeat("n", "p", 1))[8:] + b"\0"),
+        framed(8, 2, encode(messages.Heartbeat("n", "p", 1))[8:-1]),
         framed(7, 1, b"\x02\xff\x02\x00"),  # no UTF-8
         framed(9, 1, b"\xfe\xff\xff\xff\xff\xff\xff\xff\xff\x01"),  # 2 ** 62 members
         framed(9, 1, b""),
