Hand a leaving member's place over, and refuse an order only where it was never taken

It now hands its place over by one change of the set and ends when the newcomer votes (grace less 1.5 s at the latest). Whole programs with a disk lost right after the leave, at either other member: fails without the mend. - Only the smallest connected member proposed a new set. The next one now does 0.75 s later (fails without). - A repeat of an order that was taken over 256 changes ago got 412. The history holds 1,024 entries, sidecars are told its last one alone, and an order on a version before the history gets 503, no clear answer. - An order to a server that got 412 was tried again under the same fence: the lease is dropped and the fence raised. - An answer without an id was taken for the waiting request's also on a connection that had carried another (fails without). Orders go out on a connection of their own. - Attempts of a change had 300 ms whatever the value's size; they get a third of the change's time, which grows by 250 ns a byte. Call numbers of a process begin at a random number.

`system members` tells who joins, whether a quorum is reached and how many losses are seen and bearable.

Ruled out for now: a set that shrinks (each register would have to be written again under the new set first), and a newcomer as learner beside the set (recovery takes two rounds and a sync, some 10 ms; the wait was for silence).

--- a/iristrack/cli/system_commands.py
+++ b/iristrack/cli/system_commands.py
@@ -55,7 +55,7 @@
 
 PARTS = {  # what `--json` gives of the status
     "status": None,
-    "members": ("node", "voting", "incarnation", "members"),
+    "members": ("node", "voting", "in_quorum", "joining", "incarnation", "members"),
     "duties": ("list_poller", "duties"),
     "versions": ("versions",),
 }
@@ -93,6 +93,7 @@
         ("inner address", status.address),
         ("voting", status.voting),
         ("members agreed", status.founded),
+        ("in a quorum", status.in_quorum),
         ("incarnation", status.incarnation),
         ("members", members),
         ("configuration", configuration),
@@ -135,11 +136,26 @@
 
 
 def _print_members(status: SystemStatus) -> None:
-    print_pairs([("voting here", status.voting), ("incarnation here", status.incarnation)])
+    lost, bearable = _losses(status)
+    print_pairs(
+        [
+            ("voting here", status.voting),
+            ("incarnation here", status.incarnation),
+            ("in a quorum here", status.in_quorum),
+            ("joining", f"{status.joining}, which does not vote yet" if status.joining else "nobody"),
+            ("losses", f"{lost} seen from here, {bearable} bearable in all"),
+        ]
+    )
     print()
     _print_member_rows(status.members)
 
 
+def _losses(status: SystemStatus) -> tuple[int, int]:
+    """How many members cannot vote, as seen from here, and how many a set of this size bears."""
+    lost = [m for m in status.members if m.connected is False or m.address == status.joining]
+    return len(lost), max(0, (len(status.members) - 1) // 2)
+
+
 def _print_member_rows(members: tuple[MemberStatus, ...]) -> None:
     print_table(
         ("member", "node", "incarnation", "connected"),
--- a/iristrack/controlplane/changes.py
+++ b/iristrack/controlplane/changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from iristrack.configuration.model import Configuration
 from iristrack.register import Refuse, Unchanged
@@ -15,8 +16,9 @@
 )
 from iristrack.wire.values import decode_value, encode_value
 
-MOST_TAKEN = 256  # revisions whose digests are kept, to know a repeat of a call
+MOST_TAKEN = 1024  # revisions whose digests are kept, to know a repeat of a call
 BASE_DIFFERS = "another version is current"
+BASE_FORGOTTEN = "what was taken on that version is not remembered"
 NOT_HIGHER = "the revision is not higher than the current one"
 HELD = "the duty is held by another"
 
@@ -30,7 +32,13 @@
 
 
 def replace_configuration(proposed: Configuration, body: bytes, base: int) -> Change:
-    """Put a configuration in the place of revision `base` (0: none), unless it was taken already."""
+    """Put a configuration in the place of revision `base` (0: none), unless it was taken already.
+
+    A refusal with `BASE_DIFFERS` or `NOT_HIGHER` holds for all time. Revisions only rise, so each is current once at
+    most, and the history tells what took the place of `base`: something else than this, or nothing, as `base` was
+    never current and is passed. Where the history does not reach back to `base`, this may have been taken: the
+    refusal is `BASE_FORGOTTEN`, which is no clear answer.
+    """
 
     def change(value: bytes) -> Outcome:
         current = decode_value(value, ConfigurationValue) or ConfigurationValue(0, 0, b"")
@@ -38,7 +46,7 @@
         if taken in current.taken:
             return Unchanged()
         if base != current.revision:
-            return Refuse(BASE_DIFFERS)
+            return Refuse(BASE_FORGOTTEN if _is_forgotten(base, current) else BASE_DIFFERS)
         if proposed.revision <= current.revision:
             return Refuse(NOT_HIGHER)
         history = (*current.taken, taken)[-MOST_TAKEN:]
@@ -47,6 +55,17 @@
     return change
 
 
+def _is_forgotten(base: int, current: ConfigurationValue) -> bool:
+    """May a configuration that was built on `base` have been taken before the history begins?"""
+    is_whole = len(current.taken) >= current.sequence  # each change raises the sequence by one
+    return not is_whole and (not current.taken or base < current.taken[0].revision)
+
+
+def told_configuration(value: ConfigurationValue) -> bytes:
+    """What sidecars are told of the register's value: of the history its newest entry alone, as links are narrow."""
+    return encode_value(replace(value, taken=value.taken[-1:]))
+
+
 def name_version(model: str, revision: int) -> Change:
     """Name a revision of a model's weights; an older one than is named changes nothing."""
 
@@ -62,15 +81,19 @@
     return change
 
 
-def claim_duty(node: str, process: str, expected: DutyValue | None) -> Change:
-    """Take a duty that was seen vacant as `expected`, or go on with one's own."""
+def claim_duty(node: str, process: str, expected: DutyValue | None, refused_fence: int = 0) -> Change:
+    """Take a duty that was seen vacant as `expected`, or go on with one's own.
+
+    Its own fence is kept, unless a server has refused it: a fence up to `refused_fence` is never used again.
+    """
 
     def change(value: bytes) -> Outcome:
         current = decode_value(value, DutyValue)
         sequence = 0 if current is None else current.sequence
         fence = 0 if current is None else current.fence
         if current is not None and (current.owner, current.process) == (node, process):
-            return encode_value(DutyValue(sequence + 1, node, process, fence, current.renewals + 1))
+            kept = fence if fence > refused_fence else fence + 1
+            return encode_value(DutyValue(sequence + 1, node, process, kept, current.renewals + 1))
         if current != expected:
             return Refuse(HELD)
         return encode_value(DutyValue(sequence + 1, node, process, fence + 1, 0))
--- a/iristrack/controlplane/member_changes.py
+++ b/iristrack/controlplane/member_changes.py
@@ -1,7 +1,12 @@
 """Changes of the member set once it is founded: machines that take a place, and the end of their joining.
 
-The first of the connected members looks whether the set should change (`register/succession.py`) and proposes it. A
-machine that was let in recovers, votes, and has the set settled itself.
+Each member looks whether the set should change (`register/succession.py`). The first of those that are connected
+proposes it, and where that one does not (it is slow, frozen, or cut off in a way that the others cannot see), the next
+one `TURN_NS` later: the proposals are compare-and-sets, of which one prevails. A machine that was let in recovers,
+votes, and has the set settled itself.
+
+A member that is to end hands its place over first, where another machine waits for one and enough other members are
+there for that machine to recover from. It goes on voting until the set has changed, and ends when the newcomer votes.
 """
 
 from __future__ import annotations
@@ -9,7 +14,14 @@
 from collections.abc import Callable
 
 from iristrack.controlplane.register_host import RegisterHost
-from iristrack.register import Committed, MemberSetError, change_members, settled
+from iristrack.register import (
+    Committed,
+    MemberSetError,
+    change_members,
+    quorum_of,
+    replaced,
+    settled,
+)
 from iristrack.register.succession import Succession
 from iristrack.relay import topics
 from iristrack.runtime.scheduler import Scheduler, clock
@@ -19,6 +31,8 @@
 NS_PER_MS = 1_000_000
 TICK_NS = 250 * NS_PER_MS
 ROUND_NS = 1000 * NS_PER_MS
+TURN_NS = 750 * NS_PER_MS  # the next member proposes what the one before it did not
+HAND_OVER_TICK_NS = 20 * NS_PER_MS
 
 
 class MemberChanges:
@@ -41,29 +55,64 @@
         self.publish = publish
         self.log = log
         self._succession = Succession()
+        self._wanted_since: int | None = None  # ns, since when the set should change
+        self._leaving = False
         scheduler.spawn("member changes", self._run)
 
+    def hand_over(self, deadline: int, on_done: Callable[[], None]) -> None:
+        """This process is to end: have a waiting machine take its place, until `deadline` (ns) at the latest.
+
+        `on_done` is called in a task, at once where there is nobody to take the place.
+        """
+        self._leaving = True
+        self.scheduler.spawn("hand over", self._hand_over, deadline, on_done)
+
     def _run(self) -> None:
         while True:
             self.scheduler.sleep(TICK_NS)
             members = self.register.member_set
             if not self.register.founded or not self.register.voting:
                 self._succession = Succession()
+                self._wanted_since = None
             elif members.joining == self.register.name:
                 self._propose(members, settled(members))
-            else:
+            elif not self._leaving:
                 self._look(members)
 
     def _look(self, members: MembersValue) -> None:
-        connected = self.connected()
+        connected = sorted(self.connected())
+        now = clock()
         try:
-            proposed = self._succession.next_set(members, connected, self.reporting(), clock())
+            proposed = self._succession.next_set(members, connected, self.reporting(), now)
         except MemberSetError as fault:
             self.log.warning("no change of members", reason=str(fault))
             return
-        if proposed is not None and min(connected) == self.register.name:
+        if proposed is None or self.register.name not in connected:
+            self._wanted_since = None
+            return
+        if self._wanted_since is None:
+            self._wanted_since = now
+        if now - self._wanted_since >= connected.index(self.register.name) * TURN_NS:
             self._propose(members, proposed)
 
+    def _hand_over(self, deadline: int, on_done: Callable[[], None]) -> None:
+        while clock() < deadline:
+            members = self.register.member_set
+            if members.joining == "" and not self._hand_over_to(members):
+                break
+            self.scheduler.sleep(HAND_OVER_TICK_NS)
+        on_done()
+
+    def _hand_over_to(self, members: MembersValue) -> bool:
+        """Propose a successor in this process's place; whether there was one to propose."""
+        others = [member for member in self.connected() if member != self.register.name]
+        waiting = sorted(self.reporting() - set(members.members))
+        is_bound = self.register.founded and self.register.voting and self.register.is_member
+        if not is_bound or not waiting or len(others) < quorum_of(members):
+            return False
+        self._propose(members, replaced(members, self.register.name, waiting[0]))
+        return True
+
     def _propose(self, members: MembersValue, proposed: MembersValue) -> None:
         change = change_members(members, proposed)
         result = self.register.change(topics.MEMBER_SET, change, clock() + ROUND_NS)
--- a/iristrack/controlplane/operator_api.py
+++ b/iristrack/controlplane/operator_api.py
@@ -9,7 +9,7 @@
 from iristrack.configuration.document import Finding, read_configuration
 from iristrack.configuration.model import Configuration
 from iristrack.controlplane import changes
-from iristrack.controlplane.register_host import RegisterHost
+from iristrack.controlplane.register_host import RegisterHost, transfer_ns
 from iristrack.http1 import messages as http
 from iristrack.http1.serving import Response
 from iristrack.register import Committed, Overtaken, ProposerResult, Rejected
@@ -151,7 +151,8 @@
 
     def _replace(self, command: ReplaceConfiguration) -> Response:
         change = changes.replace_configuration(command.configuration, command.body, command.base)
-        result = self.register.change(topics.CONFIGURATION, change, clock() + CALL_NS)
+        deadline = clock() + CALL_NS + transfer_ns(len(command.body))
+        result = self.register.change(topics.CONFIGURATION, change, deadline)
         self._publish_configuration(result)
         self.log.info(
             "configuration call",
@@ -161,13 +162,14 @@
         )
         if isinstance(result, Committed):
             return Response(200, b'{"revision":%d}' % command.configuration.revision)
-        if isinstance(result, Rejected | Overtaken):
+        if isinstance(result, Rejected | Overtaken) and result.reason != changes.BASE_FORGOTTEN:
             status = 412 if result.reason == changes.BASE_DIFFERS else 400
             return Response(status, json.dumps({"message": result.reason}).encode())
         return no_quorum()
 
     def _read(self) -> Response:
-        result = self.register.change(topics.CONFIGURATION, changes.unchanged, clock() + CALL_NS)
+        deadline = clock() + CALL_NS + transfer_ns(self.register.value_size(topics.CONFIGURATION))
+        result = self.register.change(topics.CONFIGURATION, changes.unchanged, deadline)
         if not isinstance(result, Committed):
             return no_quorum()
         value = decode_value(result.value, ConfigurationValue)
@@ -191,7 +193,8 @@
         if isinstance(result, Committed | Rejected | Overtaken):
             value = decode_value(result.value, ConfigurationValue)
             if value is not None:
-                self.publish(Update(topics.CONFIGURATION, value.sequence, result.value))
+                told = changes.told_configuration(value)
+                self.publish(Update(topics.CONFIGURATION, value.sequence, told))
 
 
 def no_quorum() -> Response:
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -18,7 +18,7 @@
 from iristrack.controlplane.member_changes import MemberChanges
 from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
 from iristrack.controlplane.quorum_contact import LATELY_NS, QuorumContact
-from iristrack.controlplane.register_host import RegisterHost
+from iristrack.controlplane.register_host import RegisterHost, transfer_ns
 from iristrack.controlplane.status import PeerBook, status_document
 from iristrack.controlplane.weights import WeightsDuty
 from iristrack.http1.serving import HttpServer
@@ -55,7 +55,10 @@
 NS_PER_S = 1_000 * NS_PER_MS
 LEARN_TICK_NS = 250 * NS_PER_MS
 LEARN_NS = 800 * NS_PER_MS
-STOP_NS = 300 * NS_PER_MS  # between SIGTERM and the end, for what is under way
+STOP_NS = (
+    300 * NS_PER_MS
+)  # between SIGTERM, or the end of the handing over, and the end, for what is under way
+HAND_OVER_MARGIN_NS = 1500 * NS_PER_MS  # before the grace ends
 DISK_STOP_S = 1.0
 CORE_ROLE = "controlplane"
 VALUE_TYPES = {
@@ -98,6 +101,7 @@
         self._holders_of: tuple[int, set[str], set[str]] = (-1, set(), set())  # of which configuration
         self._learned: dict[str, tuple] = {}  # key: the accepted ballot that was last seen committed
         self.weights: WeightsDuty | None = None
+        self._stopping = False
 
     # ---- life
 
@@ -133,7 +137,7 @@
             seeds = self.register.members or tuple(sorted(self._seeds()))
             Founding(self.scheduler, self.register, seeds, self._reporting_core, self._tell_members)
         self._follow_members()
-        MemberChanges(
+        self.member_changes = MemberChanges(
             self.scheduler,
             self.register,
             self._connected,
@@ -160,10 +164,16 @@
             if fresh is not None:
                 self.settings = fresh
                 self._follow_members()
-        if signal.SIGTERM in numbers or signal.SIGINT in numbers:
+        if (signal.SIGTERM in numbers or signal.SIGINT in numbers) and not self._stopping:
+            self._stopping = True
             self.log.info("stopping")
             self.server.stop()
-            self.scheduler.call_at(clock() + STOP_NS, self.scheduler.stop)
+            grace_ns = int(self.settings.rule_bounds.grace_s * NS_PER_S)
+            self.member_changes.hand_over(clock() + grace_ns - HAND_OVER_MARGIN_NS, self._end)
+
+    def _end(self) -> None:
+        """The place in the member set is handed over, or there is nobody to take it."""
+        self.scheduler.call_at(clock() + STOP_NS, self.scheduler.stop)
 
     def _disk_failed(self, failure: Exception) -> None:
         self.log.error("disk failed", reason=str(failure))
@@ -329,13 +339,16 @@
         return value is not None and (update is None or update.sequence < value.sequence)
 
     def _learn(self, key: str) -> None:
-        result = self.register.change(key, changes.unchanged, clock() + LEARN_NS)
+        deadline = clock() + LEARN_NS + transfer_ns(self.register.value_size(key))
+        result = self.register.change(key, changes.unchanged, deadline)
         if not isinstance(result, Committed):
             return
         self._learned[key] = (result.ballot,)
         value = decode_value(result.value, VALUE_TYPES[key])
         if value is not None:
-            self.distribution.publish(Update(topics.topic_of(key), value.sequence, result.value))
+            is_configuration = key == topics.CONFIGURATION
+            told = changes.told_configuration(value) if is_configuration else result.value
+            self.distribution.publish(Update(topics.topic_of(key), value.sequence, told))
 
 
 def _engines_and_stores(value: bytes) -> tuple[set[str], set[str]]:
--- a/iristrack/controlplane/register_host.py
+++ b/iristrack/controlplane/register_host.py
@@ -42,11 +42,20 @@
 from iristrack.wire.values import decode_value, encode_value
 
 MEMBERS_BLOB = "members"
+FIRST_CALL_BITS = 48  # call numbers begin anywhere: one process's are not taken for another's
+SLOWEST_NS_PER_BYTE = 250  # a value is given so much more time for its length: 7 MiB get 1.8 s
+ATTEMPTS = 3  # an attempt of a change gets this part of the change's time,
+LEAST_ATTEMPT_NS = Pace().attempt_timeout_ns  # and no less than this
 NO_MEMBERS = MembersValue(UNFOUNDED)
 Reply = Callable[[Message], None]
 SendToMember = Callable[[str, Message], None]
 
 
+def transfer_ns(size: int) -> int:
+    """How much longer a change of a value of so many bytes may take (ns)."""
+    return size * SLOWEST_NS_PER_BYTE
+
+
 class _Running:
     """A proposer or a recovery that waits for answers or its timer."""
 
@@ -78,7 +87,7 @@
         self.keys = keys
         self.log = log
         self.rng = random.Random()
-        self.identity = ProposerIdentity(f"{name}/{secrets.token_hex(6)}")
+        self.identity = ProposerIdentity(f"{name}/{secrets.token_hex(6)}", secrets.randbits(FIRST_CALL_BITS))
         self.member_set = decode_value(opened.blobs.get(MEMBERS_BLOB, b""), MembersValue) or NO_MEMBERS
         self.acceptor: Acceptor | None = None
         self._running: list[_Running] = []
@@ -123,6 +132,10 @@
         """What this process's acceptor tells of itself; empty while it has none."""
         return "" if self.acceptor is None else self.acceptor.incarnation
 
+    def value_size(self, key: str) -> int:
+        """How long the value is that this process's acceptor holds of a register (bytes)."""
+        return 0 if self.acceptor is None else len(self.acceptor.cell(key).value)
+
     # ---- how an acceptor comes to vote, and ceases to
 
     def form(self, members: tuple[str, ...]) -> None:
@@ -292,9 +305,11 @@
     # ---- deciders
 
     def change(self, key: str, change: Change, deadline: int, pace: Pace | None = None) -> ProposerResult:
-        """Change a register from a task of the loop; returns when it has ended."""
+        """Change a register from a task of the loop; returns when it has ended, at `deadline` (ns) at the latest."""
         if not self.members or not (self.founded or key == topics.MEMBERS):
             return Unavailable(in_doubt=False)
+        if pace is None:
+            pace = Pace(max(LEAST_ATTEMPT_NS, (deadline - clock()) // ATTEMPTS))
         proposer = Proposer(self.identity, key, self.member_set, change, self.rng, deadline, pace)
         running = _Running(proposer)
         running.task = self.scheduler.current
--- a/iristrack/controlplane/status.py
+++ b/iristrack/controlplane/status.py
@@ -11,6 +11,7 @@
 from typing import Any, Protocol
 
 from iristrack.controlplane.distribution import Distribution
+from iristrack.controlplane.quorum_contact import QuorumContact
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.controlplane.weights import WeightsDuty
 from iristrack.relay import topics
@@ -125,6 +126,12 @@
     process: str = ""
     voting: bool = False
     founded: bool = False  # is the member set known that the seeds agreed on? No change is taken before
+    in_quorum: bool = (
+        True  # has it heard from a quorum of the members lately? Else it answers orders with 503
+    )
+    joining: str = (
+        ""  # the member that was let in last and has not recovered yet: until then one more loss may be final
+    )
     incarnation: str = ""
     members: tuple[MemberStatus, ...] = ()
     topics: tuple[TopicStatus, ...] = ()
@@ -160,6 +167,7 @@
     process: str
     address: str
     register: RegisterHost
+    quorum: QuorumContact
     distribution: Distribution
     dialers: DialerSet
     weights: WeightsDuty | None
@@ -185,6 +193,8 @@
         process=parts.process,
         voting=parts.register.voting,
         founded=parts.register.founded,
+        in_quorum=parts.quorum.holds(),
+        joining=parts.register.member_set.joining,
         incarnation=parts.register.incarnation,
         members=_members(parts, connected),
         topics=tuple(
--- a/iristrack/controlplane/weights.py
+++ b/iristrack/controlplane/weights.py
@@ -30,6 +30,7 @@
 REPORT_NS = 200 * NS_PER_MS
 GIVE_UP_NS = 12_000 * NS_PER_MS  # an upgrade that takes longer is begun anew
 NO_ORDER_NS = 1500 * NS_PER_MS  # a server that takes no order for so long lets the others go first
+FENCE_REFUSED = 412  # the status of a server that has seen a higher fence
 FENCE_SHIFT = 24  # the sequence of a holder's updates: its fence, then a counter
 METHOD = (
     "retain"  # streams go on: their parts stay under the salt of the old weights, where no new request looks
@@ -87,7 +88,7 @@
     def _claim(self) -> None:
         began = clock()
         expected = self.lease.seen
-        change = changes.claim_duty(self.lease.node, self.lease.process, expected)
+        change = changes.claim_duty(self.lease.node, self.lease.process, expected, self.lease.refused_fence)
         result = self.register.change(topics.WEIGHTS_DUTY, change, began + CLAIM_NS)
         now = clock()
         if isinstance(result, Committed):
@@ -173,12 +174,15 @@
             % upgrade.instance_id.encode()
         )
         try:
+            caller.close()  # on a connection of its own: no late answer can be taken for the order's
             answer = caller.call(b"POST", b"/order", lines, json.dumps(body).encode(), clock() + CALL_NS)
         except (OSError, http.Malformed, http.Truncated):
             return False  # it may have been taken: `expected_count` guards the next one
         self.log.info(
             "order", server=upgrade.instance_id, revision=upgrade.revision, status=answer.head.status
         )
+        if answer.head.status == FENCE_REFUSED:
+            self.lease.refused(holding.fence)
         return answer.head.status in (200, 202)
 
     def _tell_busy(self) -> None:
--- a/iristrack/dataplane/attempts.py
+++ b/iristrack/dataplane/attempts.py
@@ -92,7 +92,10 @@
             raise AttemptFailed(f"write: {fault}", ran=True) from None
 
     def read_head(self, attempt_id: bytes) -> http.Head:
-        """The head of this attempt's answer; answers of earlier requests that come late are dropped."""
+        """The head of this attempt's answer; answers of earlier requests that come late are dropped.
+
+        One that names no request is this attempt's only where the connection has carried no other.
+        """
         reader = self._link.reader
         while True:
             message = self._receive()
@@ -101,13 +104,21 @@
                 continue
             if head.status == 101:
                 raise AttemptFailed("another protocol", ran=True)
-            if head.fields.get(ATTEMPT_ID, attempt_id) == attempt_id:
+            told_id = head.fields.get(ATTEMPT_ID)
+            if told_id is None and self._is_reused:
+                raise AttemptFailed("an answer without an id, which may be an earlier request's", ran=True)
+            if told_id is None or told_id == attempt_id:
                 self.head = head
                 self._whole = message
                 return head
             if message is None:
                 self._drop_answer()
 
+    @property
+    def _is_reused(self) -> bool:
+        """Has the connection carried an earlier request, and rested since?"""
+        return self._link.idle_since != 0
+
     def pieces(self) -> Iterator[bytes]:
         """The answer's body as it comes, without its framing; ends only with the whole body."""
         if self._whole is not None:
--- a/iristrack/duties/lease.py
+++ b/iristrack/duties/lease.py
@@ -34,6 +34,7 @@
         self.process = process
         self.lease_ns = lease_ns
         self.holding: Holding | None = None
+        self.refused_fence = 0  # the highest fence that a server refused
         self._seen: DutyValue | None = None
         self._seen_at: int | None = None
 
@@ -52,6 +53,12 @@
         if value is not None and (value.owner, value.process) != (self.node, self.process):
             self.holding = None
 
+    def refused(self, fence: int) -> None:
+        """A server knows a higher fence: nothing more is ordered under this one, whatever the lease says."""
+        self.refused_fence = max(self.refused_fence, fence)
+        if self.holding is not None and self.holding.fence <= fence:
+            self.holding = None
+
     def may_act(self, now: int) -> bool:
         """May this process give an order now?"""
         return self.holding is not None and now < self.holding.act_until
--- a/iristrack/register/identity.py
+++ b/iristrack/register/identity.py
@@ -15,12 +15,12 @@
     spares the first change a round.
     """
 
-    def __init__(self, name: str) -> None:
-        """Start without knowledge of any acceptor."""
+    def __init__(self, name: str, first_call: int = 0) -> None:
+        """Start without knowledge of any acceptor; calls are numbered from `first_call` + 1 on."""
         self.name = name
         self.incarnations: dict[str, str] = {}
         self._rounds: dict[str, int] = {}
-        self._last_call = 0
+        self._last_call = first_call
 
     def next_call(self) -> int:
         """Return a call number that this process has not used."""
--- a/tests/controlplane/test_changes.py
+++ b/tests/controlplane/test_changes.py
@@ -10,12 +10,14 @@
 from iristrack.configuration.model import Configuration
 from iristrack.controlplane.changes import (
     BASE_DIFFERS,
+    BASE_FORGOTTEN,
     HELD,
     MOST_TAKEN,
     NOT_HIGHER,
     claim_duty,
     name_version,
     replace_configuration,
+    told_configuration,
     unchanged,
 )
 from iristrack.register import Refuse, Unchanged
@@ -86,6 +88,33 @@
     assert replace(value, MOST_TAKEN + 39, MOST_TAKEN + 38) == Unchanged()
 
 
+def test_a_repeat_that_may_have_been_taken_before_the_history_begins_is_not_refused() -> None:
+    """412 would say that it was never taken."""
+    value = b""
+    for revision in range(1, MOST_TAKEN + 40):
+        value = replace(value, revision, revision - 1)
+    oldest = decoded(value).taken[0].revision
+    assert replace(value, 5, 4) == Refuse(BASE_FORGOTTEN)  # it was taken
+    assert replace(value, oldest, oldest - 1) == Unchanged()
+    assert replace(value, oldest + 1, oldest, "other") == Refuse(BASE_DIFFERS)
+    assert replace(value, oldest, oldest - 1, "other") == Refuse(BASE_FORGOTTEN)
+
+
+def test_sidecars_are_told_the_newest_entry_of_the_history_alone() -> None:
+    value = replace(replace(b"", 5, 0), 9, 5)
+    told = decode_value(told_configuration(decoded(value)), ConfigurationValue)
+    assert (told.sequence, told.revision, told.body) == (2, 9, body(9))
+    assert told.taken == (TakenRevision(9, configuration(9).digest),)
+
+
+def test_a_fence_that_a_server_refused_is_not_used_again() -> None:
+    first = claim_duty("n", "p", None)(b"")
+    assert decode_value(claim_duty("n", "p", None)(first), DutyValue).fence == 1
+    raised = claim_duty("n", "p", None, refused_fence=1)(first)
+    assert decode_value(raised, DutyValue) == DutyValue(2, "n", "p", 2, 1)
+    assert decode_value(claim_duty("n", "p", None, refused_fence=1)(raised), DutyValue).fence == 2
+
+
 def test_a_change_can_be_asked_again_of_the_same_value() -> None:
     change = replace_configuration(configuration(5), body(5), 0)
     assert change(b"") == change(b"")
--- a/tests/controlplane/test_member_changes.py
+++ b/tests/controlplane/test_member_changes.py
@@ -2,12 +2,25 @@
 
 from __future__ import annotations
 
-from iristrack.controlplane import changes
-from iristrack.register import Committed, Overtaken, Rejected, Unavailable, change_members, replaced, settled
+import pytest
+
+from iristrack.controlplane import changes, member_changes
+from iristrack.controlplane.member_changes import MemberChanges
+from iristrack.register import (
+    Committed,
+    Overtaken,
+    Rejected,
+    Unavailable,
+    change_members,
+    replaced,
+    settled,
+    succession,
+)
 from iristrack.relay import topics
 from iristrack.runtime.scheduler import clock
 from iristrack.wire.messages import FOUNDED, MembersValue
 from iristrack.wire.values import decode_value
+from tests.controlplane.calls import Log
 from tests.controlplane.test_operator_api import MEMBERS, Core
 
 PATIENCE_NS = 5_000_000_000
@@ -72,3 +85,91 @@
     core.run(lambda: results.append(read(core, MEMBERS[0], patience_ns=SHORT_NS)))
     assert results == [Unavailable(in_doubt=False)]
     assert not first.voting
+
+
+# ---- who proposes, and who leaves
+
+SPARE = "core:9"
+
+
+def changing(core: Core, name: str, connected: list[str], waiting: set[str]) -> MemberChanges:
+    host = core.hosts[name]
+
+    def publish(told: MembersValue) -> None:
+        for other in core.hosts.values():
+            other.follow(told, False, lambda: None)
+
+    return MemberChanges(core.scheduler, host, lambda: connected, lambda: waiting, publish, Log())
+
+
+def wait_for(core: Core, condition) -> None:
+    while not condition():
+        core.scheduler.call_at(clock(), core.scheduler.current.wake)
+        core.scheduler.wait(-1, 0, None)
+
+
+def test_the_next_member_proposes_what_the_first_does_not(monkeypatch) -> None:
+    """The first one is connected and does nothing: frozen, slow, or cut off in a way that the others cannot see."""
+    monkeypatch.setattr(member_changes, "TICK_NS", 1_000_000)
+    monkeypatch.setattr(member_changes, "TURN_NS", 5_000_000)
+    monkeypatch.setattr(succession, "SILENT_NS", 1_000_000)
+    monkeypatch.setattr(succession, "REPORTED_NS", 1_000_000)
+    core = Core()
+    first, second, silent = MEMBERS
+    changing(core, second, [first, second], {SPARE})
+    core.run(lambda: wait_for(core, lambda: core.hosts[second].member_set.joining == SPARE))
+    assert core.hosts[first].member_set == replaced(FIRST, silent, SPARE)
+
+
+def test_a_member_that_leaves_hands_its_place_over_and_ends_when_the_newcomer_votes() -> None:
+    core = Core()
+    leaving, second, _ = MEMBERS
+    ended = []
+    changes_here = changing(core, leaving, list(MEMBERS), {SPARE})
+
+    def leave() -> None:
+        changes_here.hand_over(clock() + PATIENCE_NS, lambda: ended.append(core.hosts[leaving].member_set))
+        wait_for(core, lambda: core.hosts[second].member_set.joining == SPARE)
+        assert ended == []  # it is there while the newcomer recovers
+        voting = settled(core.hosts[second].member_set)
+        for host in core.hosts.values():
+            host.follow(voting, False, lambda: None)
+        wait_for(core, lambda: ended)
+
+    core.run(leave)
+    assert core.failures == []
+    assert ended == [settled(replaced(FIRST, leaving, SPARE))]
+    assert not core.hosts[leaving].voting
+
+
+@pytest.mark.parametrize(
+    ("connected", "waiting"),
+    [(list(MEMBERS), set()), (list(MEMBERS[:2]), {SPARE})],
+    ids=["nobody waits", "too few others to recover from"],
+)
+def test_a_member_that_cannot_hand_over_ends_at_once(connected, waiting) -> None:
+    core = Core()
+    ended = []
+    changes_here = changing(core, MEMBERS[0], connected, waiting)
+
+    def leave() -> None:
+        changes_here.hand_over(clock() + PATIENCE_NS, lambda: ended.append(True))
+        wait_for(core, lambda: ended)
+
+    core.run(leave)
+    assert core.hosts[MEMBERS[0]].member_set == FIRST
+    assert core.hosts[MEMBERS[0]].voting
+
+
+def test_a_handing_over_that_nobody_answers_ends_in_time() -> None:
+    core = Core()
+    ended = []
+    changes_here = changing(core, MEMBERS[0], list(MEMBERS), {SPARE})
+    core.cut = set(MEMBERS[1:])
+
+    def leave() -> None:
+        changes_here.hand_over(clock() + SHORT_NS, lambda: ended.append(True))
+        wait_for(core, lambda: ended)
+
+    core.run(leave)
+    assert core.hosts[MEMBERS[0]].member_set == FIRST
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -53,7 +53,7 @@
 
 def answer(result, call) -> tuple[object, list[Update]]:
     told: list[Update] = []
-    register = SimpleNamespace(change=lambda key, change, deadline: result)
+    register = SimpleNamespace(change=lambda key, change, deadline: result, value_size=lambda key: 0)
     return make_api(register, told.append).answer(call), told
 
 
@@ -69,6 +69,8 @@
         (REPLACE, Rejected(changes.BASE_DIFFERS, encode_value(TAKEN)), 412),
         (REPLACE, Overtaken(changes.BASE_DIFFERS, encode_value(TAKEN)), 412),
         (REPLACE, Rejected(changes.NOT_HIGHER, encode_value(TAKEN)), 400),
+        (REPLACE, Rejected(changes.BASE_FORGOTTEN, encode_value(TAKEN)), 503),
+        (REPLACE, Overtaken(changes.BASE_FORGOTTEN, encode_value(TAKEN)), 503),
         (REPLACE, Unavailable(in_doubt=False), 503),
         (REPLACE, Unavailable(in_doubt=True), 503),
         (READ, Committed(encode_value(TAKEN), NO_BALLOT), 200),
--- a/tests/dataplane/stand.py
+++ b/tests/dataplane/stand.py
@@ -85,6 +85,15 @@
 Answer = bytes | Callable[[Conversation], None]
 
 
+def named(answer: bytes, attempt_id: bytes) -> bytes:
+    """The answer with the request's id in its head, as servers echo it, unless there is one already."""
+    head, _, _ = answer.partition(b"\r\n\r\n")
+    if not answer.startswith(b"HTTP/") or b"x-iristrack-attempt-id" in head.lower():
+        return answer
+    first, _, rest = answer.partition(b"\r\n")
+    return first + b"\r\nX-Iristrack-Attempt-Id: " + attempt_id + b"\r\n" + rest
+
+
 class StandInServer:
     """Answers its requests one after the other with `answers`, the last one again and again."""
 
@@ -125,7 +134,7 @@
                 answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
                 conversation = Conversation(self, sock, message)
                 if isinstance(answer, bytes):
-                    conversation.send(answer)
+                    conversation.send(named(answer, conversation.id))
                 else:
                     answer(conversation)
         except OSError:
--- a/tests/dataplane/test_answers.py
+++ b/tests/dataplane/test_answers.py
@@ -80,6 +80,35 @@
     assert server.opened == 1
 
 
+@pytest.mark.parametrize("prefix", ["safe", "unsafe"])
+def test_an_answer_that_names_no_request_is_no_answer_on_a_connection_that_had_another(
+    stand: Stand, prefix: str
+) -> None:
+    unnamed = http.response(200, b"whose?", SEALED)
+
+    def named(conversation: Conversation) -> None:
+        conversation.send(own_answer(conversation))
+
+    server = stand.serve(named, lambda conversation: conversation.send(unnamed), named)
+    other = stand.serve(named)
+
+    def call() -> list[http.Message]:
+        client = Client(stand)
+        received = []
+        for attempt_id in ("a1", "a2"):
+            client.send(asking(prefix, attempt_id))
+            received.append(client.receive())
+        return received
+
+    ((first, second),) = stand.run(call)
+    assert first.body == b"for a1"
+    if prefix == "safe":
+        assert second.body == b"for a2"  # asked elsewhere, or on a new connection
+    else:
+        assert second.status == 502  # it may have run
+    assert len(server.requests) + len(other.requests) == (3 if prefix == "safe" else 2)
+
+
 @pytest.mark.parametrize("at_once", [True, False])
 def test_bytes_behind_an_answer_belong_to_no_request(stand: Stand, at_once: bool) -> None:
     def first(conversation: Conversation) -> None:
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -14,6 +14,7 @@
     Stand,
     asking,
     event,
+    named,
     stream,
     yield_turn,
 )
@@ -22,7 +23,7 @@
 
 
 def echo(conversation: Conversation) -> None:
-    conversation.send(http.response(200, conversation.id, SEALED))
+    conversation.send(named(http.response(200, conversation.id, SEALED), conversation.id))
 
 
 def talk(stand: Stand, *sent: bytes) -> list[Received]:
@@ -201,7 +202,7 @@
     going = []
 
     def answer(conversation: Conversation) -> None:
-        conversation.send(stream(1, 1)[: -len(http.LAST_CHUNK)])
+        conversation.send(named(stream(1, 1)[: -len(http.LAST_CHUNK)], conversation.id))
         while not going:
             yield_turn(conversation.server.scheduler)
         conversation.send(http.chunk(event(2)) + http.LAST_CHUNK)
--- a/tests/dataplane/test_leaving.py
+++ b/tests/dataplane/test_leaving.py
@@ -16,6 +16,7 @@
     asking,
     chunks,
     event,
+    named,
     stream_head,
     yield_turn,
 )
@@ -77,7 +78,7 @@
 
 def test_the_next_request_sent_early_is_no_leaving(stand: Stand) -> None:
     def answer(conversation: Conversation) -> None:
-        conversation.send(http.response(200, conversation.id, SEALED))
+        conversation.send(named(http.response(200, conversation.id, SEALED), conversation.id))
 
     stand.serve(answer)
 
--- a/tests/duties/test_lease.py
+++ b/tests/duties/test_lease.py
@@ -172,3 +172,16 @@
     lease.saw(value(1), 10)
     assert not lease.may_act(10)
     assert lease.wants_claim(10)
+
+
+def test_a_holder_whose_fence_a_server_refused_gives_no_order_until_it_has_another() -> None:
+    lease = Lease("n", "p", LEASE_NS)
+    lease.claimed(DutyValue(1, "n", "p", 3, 0), 0, 0)
+    assert lease.may_act(1)
+    lease.refused(3)
+    assert not lease.may_act(1)
+    assert lease.wants_claim(1)
+    assert lease.refused_fence == 3
+    lease.claimed(DutyValue(2, "n", "p", 4, 1), 1, 2)
+    lease.refused(3)  # an order of before: the new fence stands
+    assert lease.may_act(3)
--- a/tests/system/test_core_losses.py
+++ b/tests/system/test_core_losses.py
@@ -287,3 +287,57 @@
     system.wait_listening(punctual[:1])
     punctual[2].kill()
     assert system.operator.replace(version(3), 2).status == 200
+
+
+# ---- planned replacement, cuts
+
+
+def waits_at(core: Machine, spare: Machine) -> bool:
+    """Does this member hear a core machine that is no member yet?"""
+    peers = read_status(core)["peers"]
+    return any(peer["node"] == spare.name for peer in peers)
+
+
+def read_status(core: Machine) -> Document:
+    return call_once(core.control, type(replace_call(b"", 0))("GET", "/system/status")).json
+
+
+@pytest.mark.parametrize("wiped", [1, 2])
+def test_a_planned_replacement_leaves_no_moment_in_which_another_disk_is_one_too_many(
+    system: System, wiped: int
+) -> None:
+    leaving = system.cores[0]
+    assert system.operator.replace(version(2), 1).status == 200
+    spare = system.new_core()
+    spare.start()
+    for core in system.cores[:3]:
+        wait_until(lambda core=core: waits_at(core, spare), f"word of the spare at {core.name}")
+    leaving.send_signal(signal.SIGTERM)
+    wait_until(lambda: not leaving.running, "the end of the member that leaves")
+    lost = system.cores[wiped]
+    lost.kill()
+    lost.wipe_disk()
+    # The newcomer votes already: with the third member it is a majority that holds everything.
+    assert system.operator.replace(version(3), 2).status == 200
+    restart([lost])
+    wait_voting(lost, 2)
+    wait_served(system, 3)
+
+
+def test_a_member_that_reaches_no_quorum_says_so_and_asks_no_register(system: System) -> None:
+    last, *others = system.cores
+    for core in others:
+        core.send_signal(signal.SIGSTOP)
+    wait_until(lambda: not read_status(last)["in_quorum"], "the end of its contact with a quorum")
+    asked = last.log().count("configuration call")
+    for _ in range(REPEATS):
+        answer = call_once(last.control, replace_call(version(2), 1))
+        assert answer.status == 503
+    assert call_once(last.control, type(replace_call(b"", 0))("GET", "/config/read")).status == 503
+    assert last.log().count("configuration call") == asked
+    assert serves(system.edges[0], "/plain/x")
+    for core in others:
+        core.send_signal(signal.SIGCONT)
+    wait_until(lambda: read_status(last)["in_quorum"], "contact with a quorum")
+    assert system.operator.replace(version(2), 1, first=last.control).status == 200
+    wait_served(system, 2)
