--- a/iristrack/cli/system.py
+++ b/iristrack/cli/system.py
@@ -11,10 +11,8 @@
 import sys
 from pathlib import Path
 
-EXIT_DONE = 0
-EXIT_FOUND = 1
-EXIT_UNREADABLE = 2
-EXIT_NO_ANSWER = 3
+from iristrack.cli.exit_codes import EXIT_DONE, EXIT_UNREADABLE
+
 DEFAULT_TIMEOUT_S = 3.0
 MOST_TIMEOUT_S = 600.0
 
--- a/iristrack/cli/system_check.py
+++ b/iristrack/cli/system_check.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from pathlib import Path
 
-from iristrack.cli.system import EXIT_DONE, EXIT_FOUND, EXIT_UNREADABLE
+from iristrack.cli.exit_codes import EXIT_DONE, EXIT_FOUND, EXIT_UNREADABLE
 from iristrack.cli.system_tables import one_line
 from iristrack.configuration.document import read_configuration
 from iristrack.configuration.findings import WHOLE_DOCUMENT, Finding
--- a/iristrack/cli/system_commands.py
+++ b/iristrack/cli/system_commands.py
@@ -9,7 +9,7 @@
 from dataclasses import asdict
 from pathlib import Path
 
-from iristrack.cli.system import EXIT_DONE, EXIT_FOUND, EXIT_NO_ANSWER, EXIT_UNREADABLE
+from iristrack.cli.exit_codes import EXIT_DONE, EXIT_FOUND, EXIT_NO_ANSWER, EXIT_UNREADABLE
 from iristrack.cli.system_check import Unreadable, read_body
 from iristrack.cli.system_config import Comparison, ConfigurationSummary, compare, masked_document, summarise
 from iristrack.cli.system_explain import Asker, Explanation, Unexplained, explain
