--- a/iristrack/controlplane/founding.py
+++ b/iristrack/controlplane/founding.py
@@ -17,7 +17,7 @@
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.register import Committed, Unchanged
 from iristrack.relay import topics
-from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.runtime.scheduler import Scheduler
 from iristrack.wire.messages import FOUNDED, MembersValue
 from iristrack.wire.values import decode_value, encode_value
 
@@ -71,7 +71,9 @@
 
     def _propose(self) -> None:
         proposed = tuple(sorted({*self.seeds, *self.reporting()}))
-        result = self.register.change(topics.MEMBERS, propose_members(proposed), clock() + ROUND_NS)
+        result = self.register.change(
+            topics.MEMBERS, propose_members(proposed), self.scheduler.now() + ROUND_NS
+        )
         told = decode_value(result.value, MembersValue) if isinstance(result, Committed) else None
         if told is not None:
             self.register.follow(told, False, self.on_founded)
--- a/iristrack/controlplane/kept_prompts.py
+++ b/iristrack/controlplane/kept_prompts.py
@@ -67,7 +67,7 @@
         self._own: list[KeptParts] = []  # changes to tell, of own holders
         self._all: list[KeptParts] = []  # and of all
         scheduler.spawn("kept prompts", self._run)
-        scheduler.call_at(clock() + FLUSH_NS, self._flush)
+        scheduler.call_at(scheduler.now() + FLUSH_NS, self._flush)
 
     # ---- those who follow
 
@@ -93,7 +93,7 @@
 
     def _flush(self) -> None:
         self._flush_now()
-        self.scheduler.call_at(clock() + self._flush_interval(), self._flush)
+        self.scheduler.call_at(self.scheduler.now() + self._flush_interval(), self._flush)
 
     def _flush_interval(self) -> int:
         """Rarer messages to more followers: each costs a wake-up there, whatever it holds."""
@@ -154,8 +154,8 @@
             while True:
                 try:
                     cursor, lost = self._take_events(caller, holder, cursor)
-                    if lost and (listed_at is None or clock() - listed_at > LIST_NS):
-                        listed_at = clock()
+                    if lost and (listed_at is None or self.scheduler.now() - listed_at > LIST_NS):
+                        listed_at = self.scheduler.now()
                         cursor = self._take_list(caller, holder)
                     failed = False
                 except (OSError, http.Malformed, http.Truncated, MalformedAnswer):
--- a/iristrack/controlplane/list_poller.py
+++ b/iristrack/controlplane/list_poller.py
@@ -8,7 +8,7 @@
 from iristrack.http1.fetching import Caller
 from iristrack.platform_api.server_list import ListUnavailable, fetch_list, to_message
 from iristrack.relay import topics
-from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.runtime.scheduler import Scheduler
 from iristrack.settings import ProviderInterface
 from iristrack.wire.messages import Update
 from iristrack.wire.values import encode_value
@@ -46,7 +46,7 @@
         self._value = b""
         self._told_at = 0
         self._changed_at = 0
-        self._heard_at = clock()
+        self._heard_at = self.scheduler.now()
         distribution.on_learned.append(self._on_learned)
         if provider is not None:
             self._caller = Caller(scheduler, (provider.address.host, provider.address.port))
@@ -54,16 +54,16 @@
 
     def _on_learned(self, update: Update) -> None:
         if update.topic == topics.SERVERS:
-            self._heard_at = clock()
+            self._heard_at = self.scheduler.now()
             if update.value != self._value:
                 self._value = update.value
-                self._changed_at = clock()
+                self._changed_at = self.scheduler.now()
 
     def _run(self) -> None:
         next_at = 0
         while True:
             self.scheduler.sleep(TICK_NS)
-            now = clock()
+            now = self.scheduler.now()
             if now < next_at or not self._is_due(now):
                 continue
             self._poll()
@@ -75,10 +75,10 @@
 
     def _poll(self) -> None:
         try:
-            value = encode_value(to_message(fetch_list(self._caller, clock() + CALL_NS)))
+            value = encode_value(to_message(fetch_list(self._caller, self.scheduler.now() + CALL_NS)))
         except ListUnavailable:
             return  # the last list stands; the next call is soon
-        now = clock()
+        now = self.scheduler.now()
         if value != self._value or now - self._told_at >= REFRESH_NS:
             self._told_at = now
             sequence = self.distribution.topics.next_sequence(topics.SERVERS)
--- a/iristrack/controlplane/load_hub.py
+++ b/iristrack/controlplane/load_hub.py
@@ -9,7 +9,7 @@
 
 from iristrack.placement.loads import LoadBoard, add_loads, report_interval
 from iristrack.placement.report_stream import ReportStream
-from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.runtime.scheduler import Scheduler
 from iristrack.wire.codec import encode
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.messages import ServerLoad, ServerLoads
@@ -29,18 +29,18 @@
         self._reporters: dict[PeerConnection, str] = {}
         self._to_members = ReportStream(node)
         self._to_sidecars = ReportStream(node)
-        scheduler.call_at(clock() + report_interval(0), self._tick)
+        scheduler.call_at(self.scheduler.now() + report_interval(0), self._tick)
 
     def from_sidecar(self, connection: PeerConnection, loads: ServerLoads) -> None:
         """A sidecar told its loads."""
         if connection not in self._reporters:
             self._to_sidecars.begin_anew()
         self._reporters[connection] = loads.node
-        self.own.take(loads, clock())
+        self.own.take(loads, self.scheduler.now())
 
     def from_member(self, loads: ServerLoads) -> None:
         """Another member told the sum of its sidecars' loads."""
-        self.members.take(loads, clock())
+        self.members.take(loads, self.scheduler.now())
 
     def member_joined(self) -> None:
         """A member was dialled that may know nothing of this one's loads."""
@@ -52,7 +52,7 @@
         return self.own.sidecars() + self.members.sidecars()
 
     def _tick(self) -> None:
-        now = clock()
+        now = self.scheduler.now()
         self.own.expire(now)
         self.members.expire(now)
         self._drop_reporters()
--- a/iristrack/controlplane/member_changes.py
+++ b/iristrack/controlplane/member_changes.py
@@ -24,7 +24,7 @@
 )
 from iristrack.register.succession import Succession
 from iristrack.relay import topics
-from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.runtime.scheduler import Scheduler
 from iristrack.wire.messages import MembersValue
 from iristrack.wire.values import decode_value
 
@@ -81,7 +81,7 @@
 
     def _look(self, members: MembersValue) -> None:
         connected = sorted(self.connected())
-        now = clock()
+        now = self.scheduler.now()
         try:
             proposed = self._succession.next_set(members, connected, self.reporting(), now)
         except MemberSetError as fault:
@@ -96,7 +96,7 @@
             self._propose(members, proposed)
 
     def _hand_over(self, deadline: int, on_done: Callable[[], None]) -> None:
-        while clock() < deadline:
+        while self.scheduler.now() < deadline:
             members = self.register.member_set
             if members.joining == "" and not self._hand_over_to(members):
                 break
@@ -115,7 +115,7 @@
 
     def _propose(self, members: MembersValue, proposed: MembersValue) -> None:
         change = change_members(members, proposed)
-        result = self.register.change(topics.MEMBER_SET, change, clock() + ROUND_NS)
+        result = self.register.change(topics.MEMBER_SET, change, self.scheduler.now() + ROUND_NS)
         told = decode_value(result.value, MembersValue) if isinstance(result, Committed) else None
         if told is not None:
             self.log.info("members changed", sequence=told.sequence, joining=told.joining)
--- a/iristrack/controlplane/operator_api.py
+++ b/iristrack/controlplane/operator_api.py
@@ -14,7 +14,6 @@
 from iristrack.http1.serving import Response
 from iristrack.register import Committed, Overtaken, ProposerResult, Rejected
 from iristrack.relay import topics
-from iristrack.runtime.scheduler import clock
 from iristrack.wire.messages import ConfigurationValue, Update, VersionsValue
 from iristrack.wire.values import decode_value
 
@@ -151,7 +150,7 @@
 
     def _replace(self, command: ReplaceConfiguration) -> Response:
         change = changes.replace_configuration(command.configuration, command.body, command.base)
-        deadline = clock() + CALL_NS + transfer_ns(len(command.body))
+        deadline = self.register.scheduler.now() + CALL_NS + transfer_ns(len(command.body))
         result = self.register.change(topics.CONFIGURATION, change, deadline)
         self._publish_configuration(result)
         self.log.info(
@@ -168,7 +167,11 @@
         return no_quorum()
 
     def _read(self) -> Response:
-        deadline = clock() + CALL_NS + transfer_ns(self.register.value_size(topics.CONFIGURATION))
+        deadline = (
+            self.register.scheduler.now()
+            + CALL_NS
+            + transfer_ns(self.register.value_size(topics.CONFIGURATION))
+        )
         result = self.register.change(topics.CONFIGURATION, changes.unchanged, deadline)
         if not isinstance(result, Committed):
             return no_quorum()
@@ -180,7 +183,7 @@
 
     def _name_version(self, command: NameVersion) -> Response:
         change = changes.name_version(command.model, command.revision)
-        result = self.register.change(topics.VERSIONS, change, clock() + CALL_NS)
+        result = self.register.change(topics.VERSIONS, change, self.register.scheduler.now() + CALL_NS)
         if not isinstance(result, Committed):
             return no_quorum()
         value = decode_value(result.value, VersionsValue)
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import secrets
 import signal
 import socket
 from collections.abc import Callable
@@ -11,6 +10,7 @@
 from iristrack.configuration.building import parse_configuration
 from iristrack.controlplane import changes
 from iristrack.controlplane.distribution import Distribution
+from iristrack.controlplane.environment import Environment, SystemEnvironment
 from iristrack.controlplane.founding import Founding
 from iristrack.controlplane.kept_prompts import KeptPrompts
 from iristrack.controlplane.list_poller import ListPoller
@@ -21,14 +21,10 @@
 from iristrack.controlplane.register_host import RegisterHost, transfer_ns
 from iristrack.controlplane.status import PeerBook, status_document
 from iristrack.controlplane.weights import WeightsDuty
-from iristrack.http1.serving import HttpServer
 from iristrack.register import Committed
 from iristrack.relay import topics
-from iristrack.runtime.scheduler import Scheduler, clock
 from iristrack.settings import Settings
-from iristrack.store.cells import open_cells
-from iristrack.store.sync_thread import SyncThread
-from iristrack.wire.connection import PeerConnection, PeerListener
+from iristrack.wire.connection import PeerConnection
 from iristrack.wire.dialing import DialerSet
 from iristrack.wire.messages import (
     Accept,
@@ -55,11 +51,10 @@
 NS_PER_S = 1_000 * NS_PER_MS
 LEARN_TICK_NS = 250 * NS_PER_MS
 LEARN_NS = 800 * NS_PER_MS
-STOP_NS = (
-    300 * NS_PER_MS
-)  # between SIGTERM, or the end of the handing over, and the end, for what is under way
+STOP_NS = 300 * NS_PER_MS  # between the end of the handing over and the end, for what is under way
 HAND_OVER_MARGIN_NS = 1500 * NS_PER_MS  # before the grace ends
 DISK_STOP_S = 1.0
+PROCESS_BITS = 48  # of the name that each start of the process draws
 CORE_ROLE = "controlplane"
 VALUE_TYPES = {
     topics.CONFIGURATION: ConfigurationValue,
@@ -73,23 +68,42 @@
 class ControlPlane:
     """All parts of one control plane process."""
 
-    def __init__(self, settings: Settings, log, reload_settings: Callable[[], Settings | None]) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        log,
+        reload_settings: Callable[[], Settings | None],
+        environment: Environment | None = None,
+    ) -> None:
         """Opens the disk; raises `store.cells.CellsError` or `OSError` where it cannot be used."""
+        self.environment = environment or SystemEnvironment(lambda text: log.exception(text))
         self.settings = settings
         self.log = log
         self.reload_settings = reload_settings
-        self.scheduler = Scheduler(lambda text: log.exception(text))
-        self.process = secrets.token_hex(6)
+        self.scheduler = self.environment.scheduler
+        self.process = f"{self.environment.rng.getrandbits(PROCESS_BITS):012x}"
         self.address = f"{settings.ip}:{settings.port_range.first}"
-        opened = open_cells(settings.data_dir, settings.node_name)
+        opened = self.environment.open_cells(settings.data_dir, settings.node_name)
         for note in opened.notes:
             log.warning("disk", note=note)
-        self.sync = SyncThread(opened.store, self.scheduler, self._disk_failed)
+        self.sync = self.environment.make_sync(opened, self._disk_failed)
         self.dialers = DialerSet(
-            self.scheduler, self._hello, self._heartbeat, self._on_dialed, self._on_message
+            self.scheduler,
+            self._hello,
+            self._heartbeat,
+            self._on_dialed,
+            self._on_message,
+            open_one=self.environment.open_connection,
         )
         self.register = RegisterHost(
-            self.scheduler, self.address, opened, self.sync, self._send, topics.REGISTERS, log
+            self.scheduler,
+            self.address,
+            opened,
+            self.sync,
+            self._send,
+            topics.REGISTERS,
+            log,
+            self.environment.rng,
         )
         self.quorum = QuorumContact(self.register, self.dialers)
         self.distribution = Distribution(self.dialers.broadcast, self._announcement)
@@ -109,8 +123,13 @@
         """Listen and dial; raises `OSError` where an address cannot be had."""
         settings = self.settings
         inner = (settings.ip, settings.port_range.first)
-        self.peers = PeerListener(self.scheduler, inner, self._on_socket)
-        api = OperatorApi(
+        self.environment.listen_for_peers(
+            inner,
+            lambda connection: connection.send(self._hello()),
+            self._on_message,
+            self.distribution.forget,
+        )
+        self.api = OperatorApi(
             self.register,
             self.distribution.publish,
             lambda servers: status_document(self, servers),
@@ -118,7 +137,9 @@
             self.log,
         )
         bind = settings.bind.control_plane
-        self.server = HttpServer(self.scheduler, (bind.host, bind.port), api.answer, MOST_BODY)
+        self._stop_serving = self.environment.serve_operators(
+            (bind.host, bind.port), self.api.answer, MOST_BODY
+        )
         self.sync.start()
         self.weights = WeightsDuty(
             self.scheduler,
@@ -164,16 +185,21 @@
             if fresh is not None:
                 self.settings = fresh
                 self._follow_members()
-        if (signal.SIGTERM in numbers or signal.SIGINT in numbers) and not self._stopping:
+        if signal.SIGTERM in numbers or signal.SIGINT in numbers:
+            self.stop()
+
+    def stop(self) -> None:
+        """Take no more calls, hand the place in the member set over, and end."""
+        if not self._stopping:
             self._stopping = True
             self.log.info("stopping")
-            self.server.stop()
+            self._stop_serving()
             grace_ns = int(self.settings.rule_bounds.grace_s * NS_PER_S)
-            self.member_changes.hand_over(clock() + grace_ns - HAND_OVER_MARGIN_NS, self._end)
+            self.member_changes.hand_over(self.scheduler.now() + grace_ns - HAND_OVER_MARGIN_NS, self._end)
 
     def _end(self) -> None:
         """The place in the member set is handed over, or there is nobody to take it."""
-        self.scheduler.call_at(clock() + STOP_NS, self.scheduler.stop)
+        self.scheduler.call_at(self.scheduler.now() + STOP_NS, self.scheduler.stop)
 
     def _disk_failed(self, failure: Exception) -> None:
         self.log.error("disk failed", reason=str(failure))
@@ -216,7 +242,7 @@
 
     def _reporting_core(self) -> set[str]:
         """All core machines that have said something lately."""
-        least = clock() - LATELY_NS
+        least = self.scheduler.now() - LATELY_NS
         return {
             hello.address
             for connection, hello in self.peer_book.open()
@@ -271,10 +297,6 @@
         connection.send(KeptSubscribe(own_only=True))
         self.load_hub.member_joined()
 
-    def _on_socket(self, sock: socket.socket) -> None:
-        connection = PeerConnection(self.scheduler, sock, self._on_message, self.distribution.forget)
-        connection.send(self._hello())
-
     def _on_message(self, connection: PeerConnection, message: Message) -> None:
         if isinstance(message, Prepare | Accept | Promise | Accepted):
             self.register.handle(message, connection.send)
@@ -339,7 +361,7 @@
         return value is not None and (update is None or update.sequence < value.sequence)
 
     def _learn(self, key: str) -> None:
-        deadline = clock() + LEARN_NS + transfer_ns(self.register.value_size(key))
+        deadline = self.scheduler.now() + LEARN_NS + transfer_ns(self.register.value_size(key))
         result = self.register.change(key, changes.unchanged, deadline)
         if not isinstance(result, Committed):
             return
--- a/iristrack/controlplane/register_host.py
+++ b/iristrack/controlplane/register_host.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import secrets
 from collections.abc import Callable
 
 from iristrack.register import (
@@ -25,7 +24,7 @@
 )
 from iristrack.register.acceptor import Outcome
 from iristrack.relay import topics
-from iristrack.runtime.scheduler import Scheduler, Task, Timer, clock
+from iristrack.runtime.scheduler import Scheduler, Task, Timer
 from iristrack.store.cells import BlobRecord, IdentityRecord, OpenedCells
 from iristrack.store.sync_thread import SyncThread
 from iristrack.wire.messages import (
@@ -42,6 +41,8 @@
 from iristrack.wire.values import decode_value, encode_value
 
 MEMBERS_BLOB = "members"
+PROPOSER_BITS = 48  # of a process's name as a proposer,
+INCARNATION_BITS = 64  # and of an acceptor's incarnation
 FIRST_CALL_BITS = 48  # call numbers begin anywhere: one process's are not taken for another's
 SLOWEST_NS_PER_BYTE = 250  # a value is given so much more time for its length: 7 MiB get 1.8 s
 ATTEMPTS = 3  # an attempt of a change gets this part of the change's time,
@@ -78,16 +79,21 @@
         send: SendToMember,
         keys: tuple[str, ...],
         log,
+        rng: random.Random | None = None,
     ) -> None:
-        """`name` is this process's inner address, by which the member set names it."""
+        """`name` is this process's inner address, by which the member set names it.
+
+        `rng` gives waits, and names that must differ from all that were ever drawn; by default the system's.
+        """
+        self.rng = rng or random.SystemRandom()
         self.scheduler = scheduler
         self.name = name
         self.sync = sync
         self.send = send
         self.keys = keys
         self.log = log
-        self.rng = random.Random()
-        self.identity = ProposerIdentity(f"{name}/{secrets.token_hex(6)}", secrets.randbits(FIRST_CALL_BITS))
+        proposer = f"{name}/{self.rng.getrandbits(PROPOSER_BITS):012x}"
+        self.identity = ProposerIdentity(proposer, self.rng.getrandbits(FIRST_CALL_BITS))
         self.member_set = decode_value(opened.blobs.get(MEMBERS_BLOB, b""), MembersValue) or NO_MEMBERS
         self.acceptor: Acceptor | None = None
         self._running: list[_Running] = []
@@ -140,7 +146,7 @@
 
     def form(self, members: tuple[str, ...]) -> None:
         """The first start of the whole system: this is one of the seeds, which vote on the member set first."""
-        self._begin(MembersValue(UNFOUNDED, members), secrets.token_hex(8), (), lambda: None)
+        self._begin(MembersValue(UNFOUNDED, members), self._draw_incarnation(), (), lambda: None)
 
     def follow(self, told: MembersValue, first_start: bool, on_done: Callable[[], None]) -> None:
         """Go by a newer member set; `on_done` is called where its members vote here, and where it names others alone.
@@ -161,12 +167,15 @@
         elif self.voting:
             self._vote_under(told, on_done)
         elif first_start and told.sequence == FOUNDED:
-            self._begin(told, secrets.token_hex(8), (), on_done)
+            self._begin(told, self._draw_incarnation(), (), on_done)
         else:
             self.member_set = told
             self._recover(on_done)
         self._tell_proposers()
 
+    def _draw_incarnation(self) -> str:
+        return f"{self.rng.getrandbits(INCARNATION_BITS):016x}"
+
     @property
     def _is_idle(self) -> bool:
         """Does it neither vote nor come to vote?"""
@@ -206,7 +215,7 @@
             return
         self._stop_recovery()
         members = self.member_set
-        incarnation = secrets.token_hex(8)
+        incarnation = self._draw_incarnation()
         try:
             decider = Recovery(self.name, self.identity, members, self.keys, self.rng)
         except ValueError as fault:
@@ -221,7 +230,7 @@
 
         running.result = finished
         self.log.info("recovering", sequence=members.sequence, members=",".join(members.members))
-        self._carry_out(running, running.decider.start(clock()))
+        self._carry_out(running, running.decider.start(self.scheduler.now()))
 
     def _stop_recovery(self) -> None:
         if self._recovery is not None:
@@ -300,7 +309,7 @@
         for running in list(self._running):
             if isinstance(running.decider, Recovery) and not isinstance(answer, Promise):
                 continue
-            self._carry_out(running, running.decider.handle(answer, clock()))
+            self._carry_out(running, running.decider.handle(answer, self.scheduler.now()))
 
     # ---- deciders
 
@@ -309,12 +318,12 @@
         if not self.members or not (self.founded or key == topics.MEMBERS):
             return Unavailable(in_doubt=False)
         if pace is None:
-            pace = Pace(max(LEAST_ATTEMPT_NS, (deadline - clock()) // ATTEMPTS))
+            pace = Pace(max(LEAST_ATTEMPT_NS, (deadline - self.scheduler.now()) // ATTEMPTS))
         proposer = Proposer(self.identity, key, self.member_set, change, self.rng, deadline, pace)
         running = _Running(proposer)
         running.task = self.scheduler.current
         self._running.append(running)
-        self._carry_out(running, proposer.start(clock()))
+        self._carry_out(running, proposer.start(self.scheduler.now()))
         try:
             while running.result is None:
                 self.scheduler.wait(-1, 0, None)
@@ -336,15 +345,15 @@
     def _tell_proposers(self) -> None:
         for running in list(self._running):
             if isinstance(running.decider, Proposer):
-                self._carry_out(running, running.decider.use(self.member_set, clock()))
+                self._carry_out(running, running.decider.use(self.member_set, self.scheduler.now()))
 
     def _on_timer(self, running: _Running) -> None:
-        self._carry_out(running, running.decider.on_timer(clock()))
+        self._carry_out(running, running.decider.on_timer(self.scheduler.now()))
 
     def _send(self, effect: SendTo) -> None:
         if effect.member == self.name:
             # In a turn of its own: a decider must not be given an answer while its effects are carried out.
-            self.scheduler.call_at(clock(), self.handle, effect.message, self._answer_self)
+            self.scheduler.call_at(self.scheduler.now(), self.handle, effect.message, self._answer_self)
         else:
             self.send(effect.member, effect.message)
 
--- a/iristrack/controlplane/weights.py
+++ b/iristrack/controlplane/weights.py
@@ -16,7 +16,7 @@
 from iristrack.platform_api.server_list import from_message
 from iristrack.register import Committed, Overtaken, Rejected
 from iristrack.relay import topics
-from iristrack.runtime.scheduler import Scheduler, clock
+from iristrack.runtime.scheduler import Scheduler
 from iristrack.settings import Settings
 from iristrack.wire.codec import encode
 from iristrack.wire.dialing import parse_address
@@ -69,7 +69,7 @@
     def on_update(self, update: Update) -> None:
         """The duty's value, or the list of servers, was told of."""
         if update.topic == topics.WEIGHTS_DUTY:
-            self.lease.saw(decode_value(update.value, DutyValue), clock())
+            self.lease.saw(decode_value(update.value, DutyValue), self.scheduler.now())
         elif update.topic == topics.SERVERS:
             self._take_list(update.value)
 
@@ -79,18 +79,18 @@
             if not (self._wanted() or self.roll.under_way):
                 continue  # nobody has to hold the duty
             if self.lease.seen is None:
-                self.lease.saw(None, clock())
-            if self.lease.wants_claim(clock()):
+                self.lease.saw(None, self.scheduler.now())
+            if self.lease.wants_claim(self.scheduler.now()):
                 self._claim()
-            if self.lease.may_act(clock()):
+            if self.lease.may_act(self.scheduler.now()):
                 self._work()
 
     def _claim(self) -> None:
-        began = clock()
+        began = self.scheduler.now()
         expected = self.lease.seen
         change = changes.claim_duty(self.lease.node, self.lease.process, expected, self.lease.refused_fence)
         result = self.register.change(topics.WEIGHTS_DUTY, change, began + CLAIM_NS)
-        now = clock()
+        now = self.scheduler.now()
         if isinstance(result, Committed):
             value = decode_value(result.value, DutyValue)
             if (value.owner, value.process) == (self.lease.node, self.lease.process):
@@ -102,7 +102,7 @@
             self.lease.saw(decode_value(result.value, DutyValue), now)
 
     def _work(self) -> None:
-        now = clock()
+        now = self.scheduler.now()
         orders = self.roll.next_orders(self._wanted(), sum(bool(s.models) for s in self.servers), now)
         self._tell_busy()
         for upgrade in orders:
@@ -125,16 +125,18 @@
     def _upgrade(self, upgrade: Upgrade) -> None:
         """Order one server to take the weights and wait until it holds them."""
         caller = Caller(self.scheduler, parse_address(upgrade.address))
-        began = clock()
+        began = self.scheduler.now()
         ordered = taken = False
         try:
-            while clock() - began < (GIVE_UP_NS if ordered else NO_ORDER_NS):
+            while self.scheduler.now() - began < (GIVE_UP_NS if ordered else NO_ORDER_NS):
                 report = self._report(caller)
                 if report is not None and report.revisions.get(upgrade.model, 0) >= upgrade.revision:
                     taken = True
                     self._done[upgrade.instance_id, upgrade.model] = upgrade.revision
                     self.log.info(
-                        "weights taken", server=upgrade.instance_id, ms=(clock() - began) // NS_PER_MS
+                        "weights taken",
+                        server=upgrade.instance_id,
+                        ms=(self.scheduler.now() - began) // NS_PER_MS,
                     )
                     return
                 if report is not None and not ordered:
@@ -145,19 +147,19 @@
             if taken:
                 self.roll.ended(upgrade.instance_id)
             else:
-                self.roll.given_up(upgrade.instance_id, clock())
+                self.roll.given_up(upgrade.instance_id, self.scheduler.now())
             self._tell_busy()
 
     def _report(self, caller: Caller) -> Report | None:
         try:
-            answer = caller.call(b"GET", b"/report", b"", b"", clock() + CALL_NS)
+            answer = caller.call(b"GET", b"/report", b"", b"", self.scheduler.now() + CALL_NS)
             return read_report(answer.body) if answer.head.status == 200 else None
         except (OSError, http.Malformed, http.Truncated, MalformedReport):
             return None
 
     def _order(self, caller: Caller, upgrade: Upgrade, report: Report) -> bool:
         """Give the order if the lease still holds; whether the server has it, as far as is known."""
-        if not self.lease.may_act(clock()):
+        if not self.lease.may_act(self.scheduler.now()):
             return False
         holding = self.lease.holding
         body = {
@@ -175,7 +177,9 @@
         )
         try:
             caller.close()  # on a connection of its own: no late answer can be taken for the order's
-            answer = caller.call(b"POST", b"/order", lines, json.dumps(body).encode(), clock() + CALL_NS)
+            answer = caller.call(
+                b"POST", b"/order", lines, json.dumps(body).encode(), self.scheduler.now() + CALL_NS
+            )
         except (OSError, http.Malformed, http.Truncated):
             return False  # it may have been taken: `expected_count` guards the next one
         self.log.info(
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -18,9 +18,9 @@
 from iristrack.relay import topics
 from iristrack.relay.catch_up import CatchUp
 from iristrack.relay.topics import TopicTable
-from iristrack.runtime.scheduler import Timer, clock
+from iristrack.runtime.scheduler import Timer
 from iristrack.wire.connection import PeerConnection
-from iristrack.wire.dialing import HEARTBEAT_NS, DialerSet
+from iristrack.wire.dialing import HEARTBEAT_NS, DialerSet, OpenConnection
 from iristrack.wire.messages import (
     BusyServers,
     ConfigurationValue,
@@ -46,8 +46,10 @@
 class ControlLink:
     """Connections to the core, and what their updates change here."""
 
-    def __init__(self, plane: PlaneState, servers: ListFollower, log) -> None:
-        """Dials the seeds at once."""
+    def __init__(
+        self, plane: PlaneState, servers: ListFollower, log, open_one: OpenConnection | None = None
+    ) -> None:
+        """Dials the seeds at once; `open_one` opens connections, over TCP where it is None."""
         self.plane = plane
         self.log = log
         self.topics = TopicTable()
@@ -74,6 +76,7 @@
             self._subscribe,
             self._on_message,
             self._heartbeat_interval,
+            open_one,
         )
         self.follow_seeds()
 
@@ -149,14 +152,14 @@
         self.core.heard(connection, message)
         self._choose_hub()
         if connection is not self._hub:
-            self.catch_up.heard(connection, self.topics.versions(), message.known, clock())
+            self.catch_up.heard(connection, self.topics.versions(), message.known, self.plane.scheduler.now())
             self._set_ask_timer()
 
     def _ask(self) -> None:
         """Ask the members whose turn it is for what is missing here."""
         self._ask_timer = None
         known = self.topics.versions()
-        for connection in self.catch_up.take_due(known, clock()):
+        for connection in self.catch_up.take_due(known, self.plane.scheduler.now()):
             if connection.closed:
                 self.catch_up.lost(connection)
             elif connection is not self._hub:  # the hub sends what it has by itself
@@ -188,11 +191,13 @@
         for version in told.versions:
             known = self.plane.versions.get(version.model)
             if known is None or known.revision < version.revision:
-                self.plane.versions[version.model] = ModelVersion(version.revision, clock())
+                self.plane.versions[version.model] = ModelVersion(
+                    version.revision, self.plane.scheduler.now()
+                )
                 self.log.info("weights named", model=version.model, revision=version.revision)
 
     def _on_kept(self, batch: KeptBatch) -> None:
-        now = clock()
+        now = self.plane.scheduler.now()
         for change in batch.entries:
             self.plane.index.apply_change(change, now)
 
@@ -208,7 +213,7 @@
             server = self.plane.servers.servers.get(taken.instance)
             if server is not None:
                 server.saw_revision(taken.model, taken.revision)
-        now = clock()
+        now = self.plane.scheduler.now()
         busy = set(told.instances)
         for instance in busy | self._busy:
             server = self.plane.servers.servers.get(instance)
--- a/iristrack/dataplane/core_view.py
+++ b/iristrack/dataplane/core_view.py
@@ -2,8 +2,9 @@
 
 It answers two questions. Which member is the hub, which pushes changes and sums loads: one that reaches a quorum goes
 before one that does not, one of this zone before the others. And is the configuration confirmed: has a majority of the
-members told how new theirs is since this process started, and is none of these newer than the one in force here? A
-member that is cut off from the others cannot confirm anything alone, whatever it holds.
+members, each while it reached a quorum, told how new theirs is since this process started, and has nobody told of a
+newer one than is in force here? Members that are cut off cannot confirm anything, whatever they hold and however many
+they are: what was acknowledged before may be accepted by them without their knowing that it is.
 """
 
 from __future__ import annotations
@@ -33,7 +34,8 @@
         self.topic = topic
         self.hub: PeerConnection | None = None
         self.members: dict[PeerConnection, CoreMember] = {}
-        self._told: dict[str, int] = {}  # by member address: the highest sequence of the topic that it told
+        self._newest = -1  # the highest sequence of the topic that any member told
+        self._confirming: set[str] = set()  # addresses of those that told one while they reached a quorum
 
     def met(self, connection: PeerConnection, hello: Hello) -> None:
         """A member said who it is."""
@@ -47,7 +49,9 @@
         member.in_quorum = heartbeat.in_quorum
         for version in heartbeat.known:
             if version.topic == self.topic:
-                self._told[member.address] = max(version.sequence, self._told.get(member.address, -1))
+                self._newest = max(version.sequence, self._newest)
+                if heartbeat.in_quorum:
+                    self._confirming.add(member.address)
 
     def choose_hub(self) -> PeerConnection | None:
         """The hub from now on: the present one, unless another is better."""
@@ -59,9 +63,9 @@
         return self.hub
 
     def is_confirmed(self, sequence: int, members: Collection[str]) -> bool:
-        """Has a majority of `members` told versions, none of them above `sequence`?"""
-        told = [self._told[address] for address in members if address in self._told]
-        return len(told) >= len(members) // 2 + 1 and max(told) <= sequence
+        """Has a majority of `members` told versions, and nobody one above `sequence`?"""
+        told = sum(address in self._confirming for address in members)
+        return told >= len(members) // 2 + 1 and self._newest <= sequence
 
     def _rank(self, connection: PeerConnection) -> tuple[bool, bool]:
         member = self.members[connection]
--- a/iristrack/dataplane/load_reports.py
+++ b/iristrack/dataplane/load_reports.py
@@ -16,7 +16,6 @@
 from iristrack.placement.outcomes import NONE, Outcomes
 from iristrack.placement.report_stream import ReportStream
 from iristrack.placement.servers import Server
-from iristrack.runtime.scheduler import clock
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.messages import ServerLoad, ServerLoads
 
@@ -44,7 +43,7 @@
         self._heard_at = 0
         self._judged_at = 0
         self._heard_count = 0  # the hub's number of the newest report that was followed
-        plane.scheduler.call_at(clock() + self._interval, self._tick)
+        plane.scheduler.call_at(self.plane.scheduler.now() + self._interval, self._tick)
 
     @property
     def _interval(self) -> int:
@@ -52,7 +51,7 @@
 
     def on_others(self, message: ServerLoads) -> None:
         """The hub told the sum of all sidecars, or what has changed of it."""
-        self._heard_at = clock()
+        self._heard_at = self.plane.scheduler.now()
         if not message.partial:
             self._total = by_instance(message.loads)
             changed = None
@@ -83,7 +82,7 @@
         server.others_outcomes = NONE if load is None else Outcomes(load.answered, load.failed)
 
     def _tick(self) -> None:
-        now = clock()
+        now = self.plane.scheduler.now()
         if self._heard_at and now - self._heard_at > EXPIRY_NS:
             self._forget_others()
         own = {load.instance: load for load in self._own_loads(now)}
--- a/iristrack/runtime/scheduler.py
+++ b/iristrack/runtime/scheduler.py
@@ -148,6 +148,11 @@
 
     # ---- for everyone
 
+    @staticmethod
+    def now() -> int:
+        """What `clock` tells; a simulation's scheduler has a time of its own."""
+        return clock()
+
     def spawn(self, name: str, call: Callable[..., None], *args: object) -> Task:
         """Start a task; it runs in the next turn of the loop."""
         task = Task(self, name, call, args)
--- a/iristrack/wire/dialing.py
+++ b/iristrack/wire/dialing.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from iristrack.http1.connection import connect
-from iristrack.runtime.scheduler import Cancelled, Scheduler, Task, clock
+from iristrack.runtime.scheduler import Cancelled, Scheduler, Task
 from iristrack.wire.connection import PeerConnection
 from iristrack.wire.messages import Heartbeat, Hello, Message
 
@@ -24,6 +24,25 @@
     return host, int(port)
 
 
+OpenConnection = Callable[
+    [str, Callable[[PeerConnection, Message], None], Callable[[PeerConnection], None]], PeerConnection
+]
+
+
+def open_connection(scheduler: Scheduler) -> OpenConnection:
+    """Opens connections over TCP, from tasks of this scheduler; what it gives raises `OSError`."""
+
+    def open_one(
+        address: str,
+        on_message: Callable[[PeerConnection, Message], None],
+        on_close: Callable[[PeerConnection], None],
+    ) -> PeerConnection:
+        sock = connect(scheduler, parse_address(address), scheduler.now() + CONNECT_NS)
+        return PeerConnection(scheduler, sock, on_message, on_close)
+
+    return open_one
+
+
 class Dialer:
     """One connection to one address, dialled anew whenever it ends.
 
@@ -40,8 +59,10 @@
         on_open: Callable[[PeerConnection], None],
         on_message: Callable[[PeerConnection, Message], None],
         interval: Callable[[PeerConnection], int],
+        open_one: OpenConnection,
     ) -> None:
         """Starts with the next turn of the loop."""
+        self.open_one = open_one
         self.scheduler = scheduler
         self.interval = interval
         self.address = address
@@ -60,7 +81,7 @@
 
     def heard_within(self, ns: int) -> bool:
         """Has the peer answered on this connection so lately?"""
-        return self.connection is not None and clock() - self.connection.heard_at <= ns
+        return self.connection is not None and self.scheduler.now() - self.connection.heard_at <= ns
 
     def send(self, message: Message) -> bool:
         """Send over the present connection; false where there is none."""
@@ -80,13 +101,12 @@
         pause = FIRST_PAUSE_NS
         while not self._stopped:
             try:
-                sock = connect(self.scheduler, parse_address(self.address), clock() + CONNECT_NS)
+                connection = self.open_one(self.address, self.on_message, self._closed)
             except OSError:
                 self.scheduler.sleep(pause)
                 pause = min(LONGEST_PAUSE_NS, pause * 2)
                 continue
             pause = FIRST_PAUSE_NS
-            connection = PeerConnection(self.scheduler, sock, self.on_message, self._closed)
             connection.send(self.hello())
             self.connection = connection
             self.on_open(connection)
@@ -103,7 +123,7 @@
             connection.send(self.heartbeat())
             interval = self.interval(connection)
             self.scheduler.sleep(interval)
-            if clock() - connection.heard_at > SILENT_HEARTBEATS * interval + SILENT_MARGIN_NS:
+            if self.scheduler.now() - connection.heard_at > SILENT_HEARTBEATS * interval + SILENT_MARGIN_NS:
                 connection.close()
 
     def _closed(self, connection: PeerConnection) -> None:
@@ -122,10 +142,12 @@
         on_open: Callable[[PeerConnection], None],
         on_message: Callable[[PeerConnection, Message], None],
         interval: Callable[[PeerConnection], int] = lambda connection: HEARTBEAT_NS,
+        open_one: OpenConnection | None = None,
     ) -> None:
-        """No address is dialled yet."""
+        """No address is dialled yet; `open_one` opens connections, over TCP where it is None."""
+        opener = open_one or open_connection(scheduler)
         self._make = lambda address: Dialer(
-            scheduler, address, hello, heartbeat, on_open, on_message, interval
+            scheduler, address, hello, heartbeat, on_open, on_message, interval, opener
         )
         self.dialers: dict[str, Dialer] = {}
 
--- a/tests/controlplane/test_load_hub.py
+++ b/tests/controlplane/test_load_hub.py
@@ -4,7 +4,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from iristrack.controlplane import load_hub
 from iristrack.controlplane.load_hub import LoadHub
 from iristrack.placement.loads import apply_changes, report_interval
 from iristrack.wire.messages import ServerLoad, ServerLoads
@@ -17,24 +16,25 @@
     """Stands in for the scheduler: its timers are called by the test."""
 
     def __init__(self) -> None:
-        self.now = 10**12
+        self.at = 10**12
         self.calls: list[tuple[int, object]] = []
 
+    def now(self) -> int:
+        return self.at
+
     def call_at(self, when: int, call) -> None:
         self.calls.append((when, call))
 
     def turn(self, ns: int = report_interval(0)) -> None:
-        self.now += ns
+        self.at += ns
         due, self.calls = self.calls, []
         for _, call in due:
             call()
 
 
 @pytest.fixture
-def clock(monkeypatch) -> Clock:
-    stand_in = Clock()
-    monkeypatch.setattr(load_hub, "clock", lambda: stand_in.now)
-    return stand_in
+def clock() -> Clock:
+    return Clock()
 
 
 def make(clock: Clock) -> tuple[LoadHub, list[ServerLoads]]:
@@ -97,15 +97,13 @@
 @given(st.lists(LOADS, min_size=1, max_size=4), st.lists(LOADS, max_size=3))
 def test_each_sum_holds_everyone(sidecars, members) -> None:
     stand_in = Clock()
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(load_hub, "clock", lambda: stand_in.now)
-        hub, told = make(stand_in)
-        peers = [Peer() for _ in sidecars]
-        for number, (peer, requests) in enumerate(zip(peers, sidecars, strict=True)):
-            hub.from_sidecar(peer, loads(f"edge-{number}", 1, requests))
-        for number, requests in enumerate(members):
-            hub.from_member(loads(f"core-{number + 2}", 1, requests))
-        stand_in.turn()
+    hub, told = make(stand_in)
+    peers = [Peer() for _ in sidecars]
+    for number, (peer, requests) in enumerate(zip(peers, sidecars, strict=True)):
+        hub.from_sidecar(peer, loads(f"edge-{number}", 1, requests))
+    for number, requests in enumerate(members):
+        hub.from_member(loads(f"core-{number + 2}", 1, requests))
+    stand_in.turn()
 
     def total(parts) -> dict[str, tuple[int, int]]:
         sums: dict[str, int] = {}
@@ -176,4 +174,4 @@
     clock.turn()
     assert (told[-1].sidecars, sidecar.take()[-1].sidecars) == (1, 80)
     ((due, _),) = clock.calls
-    assert due == clock.now + report_interval(80) > clock.now + report_interval(0)
+    assert due == clock.at + report_interval(80) > clock.at + report_interval(0)
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -53,7 +53,11 @@
 
 def answer(result, call) -> tuple[object, list[Update]]:
     told: list[Update] = []
-    register = SimpleNamespace(change=lambda key, change, deadline: result, value_size=lambda key: 0)
+    register = SimpleNamespace(
+        change=lambda key, change, deadline: result,
+        value_size=lambda key: 0,
+        scheduler=SimpleNamespace(now=clock),
+    )
     return make_api(register, told.append).answer(call), told
 
 
--- a/tests/dataplane/test_core_view.py
+++ b/tests/dataplane/test_core_view.py
@@ -75,6 +75,16 @@
     assert not view.is_confirmed(5, MEMBERS)
 
 
+def test_members_without_a_quorum_confirm_nothing_however_many_they_are() -> None:
+    view = View()
+    for address in MEMBERS:
+        view.tell(view.join(address), 5, in_quorum=False)
+    assert not view.is_confirmed(5, MEMBERS)
+    for peer in view.members:
+        view.tell(peer, 5)
+    assert view.is_confirmed(5, MEMBERS)
+
+
 def test_one_that_knows_no_configuration_has_told_none() -> None:
     view = View()
     view.tell(view.join("a:1"), 5)
