--- a/iristrack/simulation/control.py
+++ b/iristrack/simulation/control.py
@@ -309,7 +309,7 @@
 
     def _new_core(self, bootstrap: bool) -> SimulatedCore:
         rng = random.Random(self.rng.getrandbits(64))
-        core = SimulatedCore(len(self.cores), self.world, self.network, rng, seeds, bootstrap, self.lines)
+        core = SimulatedCore(len(self.cores), self.world, self.network, rng, self._seeds, bootstrap, self.lines)
         self.cores.append(core)
         return core
 
