--- a/iristrack/simulation/control.py
+++ b/iristrack/simulation/control.py
@@ -37,6 +37,9 @@
 MOST_SEEDS = 3
 
 
+CUT_HOWS = ("split", "one_way", "near", "both", "lure", "relieve", "edges")
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """One kind of run; shares are weights among the faults."""
@@ -48,10 +51,11 @@
     duration_ns: int = 40 * NS_PER_S
     fault_pause_ns: int = 2500 * NS_PER_MS  # between two faults, on average
     answers_lost: float = 0.0
+    sync_ns: int = USUAL_SYNC_NS
+    cut_hows: tuple[str, ...] = CUT_HOWS
     operator_pause_ns: int = 300 * NS_PER_MS
 
 
-CUT_HOWS = ("split", "one_way", "near", "both", "lure", "relieve", "edges")
 SCENARIOS = {
     "cut_off": Scenario((("cut", 6), ("freeze", 1), ("kill", 1)), cores=5, edges=6),
     "cut_off_three": Scenario((("cut", 6), ("freeze", 1))),
@@ -316,6 +320,7 @@
         core = SimulatedCore(
             len(self.cores), self.world, self.network, rng, self._seeds, bootstrap, self.lines
         )
+        core.disk.sync_ns = self.scenario.sync_ns
         self.cores.append(core)
         return core
 
@@ -361,8 +366,10 @@
 
     def _slow_disk(self) -> bool:
         core = self.rng.choice(self.cores)
-        core.disk.sync_ns = SLOW_DISK * USUAL_SYNC_NS
-        self._later(self.rng.randint(NS_PER_S, 6 * NS_PER_S), setattr, core.disk, "sync_ns", USUAL_SYNC_NS)
+        core.disk.sync_ns = SLOW_DISK * self.scenario.sync_ns
+        self._later(
+            self.rng.randint(NS_PER_S, 6 * NS_PER_S), setattr, core.disk, "sync_ns", self.scenario.sync_ns
+        )
         return True
 
     def _stalled_disk(self) -> bool:
@@ -378,7 +385,7 @@
         return True
 
     def _cut(self) -> bool:
-        """Cut a minority of the core off for some seconds, in one of the ways of `CUT_HOWS`."""
+        """Cut a minority of the core off for some seconds, in one of the ways of the scenario."""
         if self._cut_now:
             return False
         members = self._running_members()
@@ -387,7 +394,7 @@
             return False
         minority = self.rng.sample(members, self.rng.randint(1, most))
         others = [core for core in self.cores if core not in minority]
-        how = self.rng.choice(CUT_HOWS)
+        how = self.rng.choice(self.scenario.cut_hows)
         self.figures[f"cut_{how}"] += 1
         self._cut_now = self._cut_pairs(how, minority, others)
         self.network.cut(self._cut_now)
@@ -434,11 +441,12 @@
         at = 0
         for core in cores:
             at += self.rng.randint(1, NS_PER_S)
-            self._later(at, core.kill)
+            self._later(at, self._kill_all, [core])
             self._later(at + self.rng.randint(1, NS_PER_S), core.start)
 
     def _kill_all(self, cores: list[SimulatedCore]) -> None:
-        for core in cores:
+        """Kill these, unless all faults have ended meanwhile."""
+        for core in [] if self._ended else cores:
             core.kill()
             self._restart_later(core, NS_PER_S)
 
@@ -449,7 +457,7 @@
         self._mend_cut()
         for core in self.cores:
             core.disk.refusing = False
-            core.disk.sync_ns = USUAL_SYNC_NS
+            core.disk.sync_ns = self.scenario.sync_ns
             if not core.gone:
                 self._later(self.rng.randint(1, NS_PER_S), core.start)
         for operator in self.operators:
--- /dev/null
+++ b/tests/simulation/test_control.py
@@ -0,0 +1,203 @@
+"""The control side's programs in virtual time: no violation, and each planted fault is found."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from iristrack.controlplane import changes, operator_api
+from iristrack.controlplane.register_host import RegisterHost
+from iristrack.dataplane.core_view import CoreView
+from iristrack.register import Refuse, Unchanged
+from iristrack.relay.catch_up import CatchUp
+from iristrack.simulation.control import SCENARIOS, Scenario, first_violation, main, run_seed
+from iristrack.simulation.control_referee import Order, Referee
+
+SEEDS = range(2)
+PLANTED_SEEDS = range(20)
+SHORT_NS = 25_000_000_000
+
+
+@pytest.mark.parametrize("name", sorted(SCENARIOS))
+def test_no_seed_of_a_scenario_violates_anything(name: str) -> None:
+    assert first_violation(SCENARIOS[name], SEEDS) is None
+
+
+def test_seventy_sidecars_go_by_each_configuration_in_time_whoever_is_cut_off() -> None:
+    scenario = replace(SCENARIOS["cut_off"], edges=70, duration_ns=SHORT_NS)
+    assert first_violation(scenario, range(1)) is None
+
+
+def test_the_faults_happen_and_orders_are_taken_between_them() -> None:
+    scenario = SCENARIOS["mixed"]
+    figures = run_seed(scenario, 0).figures + run_seed(scenario, 1).figures + run_seed(scenario, 2).figures
+    for fault in ("cut", "kill", "freeze", "replace", "replace_planned", "wipe"):
+        assert figures[f"faults_{fault}"] > 0, fault
+    assert figures["orders_acknowledged"] > 100
+    assert figures["orders_refused"] > 10
+
+
+def test_a_seed_gives_the_same_run_each_time() -> None:
+    scenario = replace(SCENARIOS["mixed"], duration_ns=SHORT_NS)
+    first, second = run_seed(scenario, 7), run_seed(scenario, 7)
+    assert (first.figures, first.lines) == (second.figures, second.lines)
+
+
+# ---- planted faults, at least one for each point
+
+
+def hear_nothing(self, source, here, told, now):
+    """What the hub does not push is not noticed."""
+
+
+def keep_first_hub(self):
+    self.hub = self.hub or next(iter(self.members), None)
+    return self.hub
+
+
+def confirm_alone(self, sequence, members):
+    return True
+
+
+def forget_digests(proposed, body, base):
+    real = REPLACE(proposed, body, base)
+
+    def change(value):
+        outcome = real(value)
+        return Refuse(changes.BASE_DIFFERS) if isinstance(outcome, Unchanged) else outcome
+
+    return change
+
+
+def take_any_base(proposed, body, base):
+    def change(value):
+        outcome = REPLACE(proposed, body, base)(value)
+        if outcome == Refuse(changes.BASE_DIFFERS):
+            current = changes.decode_value(value, changes.ConfigurationValue)
+            return REPLACE(proposed, body, current.revision)(value)
+        return outcome
+
+    return change
+
+
+REPLACE = changes.replace_configuration
+
+
+def vote_empty(self, on_done):
+    """A member whose disk was lost votes without having read anything from the others."""
+    self._begin(self.member_set, self._draw_incarnation(), (), on_done)
+
+
+def stay_silent(self, stopped, on_done):
+    """A disk that refused a record once is never tried again."""
+
+
+def reply_first(self, decide, reply):
+    """Replies do not wait for their records."""
+    acceptor = self.acceptor
+    if acceptor is None or not acceptor.voting:
+        return
+    outcome = decide(acceptor)
+    reply(outcome.reply)
+    self.sync.submit([] if outcome.record is None else [outcome.record], lambda ok: None)
+
+
+RESTARTED_BESIDE_THE_MINORITY = replace(
+    SCENARIOS["cut_off_three"], faults=(("cut", 1),), cut_hows=("edges",), duration_ns=SHORT_NS
+)
+LOSSES_ONE_AFTER_THE_OTHER = Scenario(
+    (("wipe_acknowledger", 3), ("kill", 3)), fault_pause_ns=500_000_000, operator_pause_ns=100_000_000
+)
+POWER_LOST_AMONG_SLOW_SYNCS = Scenario(
+    (("herd_kill", 1),), fault_pause_ns=1_500_000_000, operator_pause_ns=50_000_000, sync_ns=60_000_000
+)
+PLANTED = {
+    "1 nobody asks for what the hub does not push": (
+        SCENARIOS["cut_off"],
+        [(CatchUp, "heard", hear_nothing), (CoreView, "choose_hub", keep_first_hub)],
+    ),
+    "1 a restarted sidecar believes the first that speaks": (
+        RESTARTED_BESIDE_THE_MINORITY,
+        [(CoreView, "is_confirmed", confirm_alone)],
+    ),
+    "2 a digest is forgotten": (
+        SCENARIOS["races"],
+        [(operator_api.changes, "replace_configuration", forget_digests)],
+    ),
+    "2 the base is not looked at": (
+        SCENARIOS["races"],
+        [(operator_api.changes, "replace_configuration", take_any_base)],
+    ),
+    "3 a member votes before it recovered": (
+        LOSSES_ONE_AFTER_THE_OTHER,
+        [(RegisterHost, "_recover", vote_empty)],
+    ),
+    "4 a reply goes out before its record": (
+        POWER_LOST_AMONG_SLOW_SYNCS,
+        [(RegisterHost, "_vote", reply_first)],
+    ),
+    "4 a disk that refused once is never tried again": (
+        SCENARIOS["bad_disks"],
+        [(RegisterHost, "_try_disk_later", stay_silent)],
+    ),
+}
+
+
+@pytest.mark.parametrize("fault", sorted(PLANTED))
+def test_a_planted_fault_is_found(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    scenario, replaced = PLANTED[fault]
+    for owner, attribute, planted in replaced:
+        monkeypatch.setattr(owner, attribute, planted)
+    assert first_violation(scenario, PLANTED_SEEDS) is not None
+
+
+@pytest.mark.parametrize(
+    "scenario",
+    [RESTARTED_BESIDE_THE_MINORITY, LOSSES_ONE_AFTER_THE_OTHER, POWER_LOST_AMONG_SLOW_SYNCS],
+    ids=["restarted_beside_the_minority", "losses_one_after_the_other", "power_lost_among_slow_syncs"],
+)
+def test_where_faults_are_planted_the_program_itself_violates_nothing(scenario: Scenario) -> None:
+    assert first_violation(scenario, SEEDS) is None
+
+
+# ---- the referee
+
+
+def order(number: int, base: int, revision: int) -> Order:
+    return Order(number, base, revision, b"", f"d{number}", 0)
+
+
+def test_the_referee_knows_each_kind_of_violation() -> None:
+    referee = Referee()
+    one, other, third = order(1, 0, 5), order(2, 0, 5), order(3, 5, 7)
+    referee.orders = {o.number: o for o in (one, other, third)}
+    referee.acknowledged(one, 10)
+    referee.acknowledged(other, 20)
+    referee.refused(one, 30)
+    referee.was_read(4, 5, 40)
+    referee.took("edge/1", 5, 50)
+    referee.took("edge/1", 4, 60)
+    referee.confirmed("edge/1", 4, 10**12)
+    referee.judge_time(10**12, 0, {"edge/1": 0})
+    referee.judge_end([(5, "d2"), (3, "x")], 10**12)
+    told = " ".join(referee.violations)
+    for part in (
+        "both taken on 0",
+        "refused after it was acknowledged",
+        "read 4",
+        "went back",
+        "confirmed 4",
+        "does not go by 5",
+        "no clear answer",
+        "order 1 was acknowledged and is lost",
+        "does not rise",
+    ):
+        assert part in told, part
+
+
+def test_the_command_prints_its_figures(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["--scenario", "races", "--seeds", "1"]) == 0
+    printed = capsys.readouterr().out
+    assert "scenario=races seeds=1" in printed
+    assert "violations=0" in printed
