--- a/iristrack/controlplane/operator_api.py
+++ b/iristrack/controlplane/operator_api.py
@@ -10,8 +10,10 @@
 from iristrack.configuration.model import Configuration
 from iristrack.controlplane import changes
 from iristrack.controlplane.register_host import RegisterHost, transfer_ns
+from iristrack.controlplane.status_figures import status_figures
 from iristrack.http1 import messages as http
 from iristrack.http1.serving import Response
+from iristrack.platform_api.figures import CONTENT_TYPE, figures_text
 from iristrack.register import Committed, Overtaken, ProposerResult, Rejected
 from iristrack.relay import topics
 from iristrack.wire.messages import ConfigurationValue, Update, VersionsValue
@@ -53,6 +55,11 @@
     with_servers: bool  # `?servers`: the platform's list too
 
 
+@dataclass(frozen=True, slots=True)
+class ReadMetrics:
+    """`GET /metrics`."""
+
+
 @dataclass(frozen=True, slots=True)
 class BadCall:
     """A call that is answered without a command."""
@@ -61,7 +68,7 @@
     findings: tuple[Finding, ...]
 
 
-Command = ReplaceConfiguration | ReadConfiguration | NameVersion | ReadStatus | BadCall
+Command = ReplaceConfiguration | ReadConfiguration | NameVersion | ReadStatus | ReadMetrics | BadCall
 Publish = Callable[[Update], None]
 TellStatus = Callable[[bool], dict]  # of whether with servers
 
@@ -78,6 +85,8 @@
         return _decode_version(message.body)
     if (method, path) == (b"GET", b"/system/status"):
         return ReadStatus(query == b"servers")
+    if (method, path) == (b"GET", b"/metrics"):
+        return ReadMetrics()
     return BadCall(404, (Finding("call", "no such call", "see the operators' page"),))
 
 
@@ -140,6 +149,8 @@
             return _findings(command)
         if isinstance(command, ReadStatus):
             return Response(200, json.dumps(self.tell_status(command.with_servers)).encode())
+        if isinstance(command, ReadMetrics):
+            return Response(200, figures_text(status_figures(self.tell_status(False))), CONTENT_TYPE)
         if not self.in_quorum():
             return no_quorum()
         if isinstance(command, ReplaceConfiguration):
--- /dev/null
+++ b/iristrack/controlplane/status_figures.py
@@ -0,0 +1,28 @@
+"""The figures of a control plane, from what it tells of itself (`status.py`)."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from iristrack.relay import topics
+
+
+def status_figures(document: dict[str, Any]) -> dict[str, int | bool]:
+    """Numbers by name; what is not known is left out."""
+    members = document.get("members", ())
+    figures: dict[str, int | bool] = {
+        "voting": bool(document.get("voting")),
+        "founded": bool(document.get("founded")),
+        "in_quorum": bool(document.get("in_quorum")),
+        "joining": bool(document.get("joining")),
+        "members": len(members),
+        "members_connected": sum(bool(member.get("connected")) for member in members),
+        "peers": len(document.get("peers", ())),
+    }
+    configuration = document.get("configuration")
+    if configuration is not None:
+        figures["configuration_revision"] = configuration["revision"]
+    for topic in document.get("topics", ()):
+        if topic["topic"] in (topics.CONFIGURATION, topics.VERSIONS, topics.MEMBERS):
+            figures[f"{topic['topic']}_sequence"] = topic["sequence"]
+    return figures
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -105,6 +105,23 @@
     assert b"Retry-After" in response.lines
 
 
+def test_the_figures_are_told_as_text_without_asking_the_register() -> None:
+    document = {
+        "voting": True,
+        "in_quorum": False,
+        "members": [{"connected": True}, {"connected": False}],
+        "topics": [{"topic": "configuration", "sequence": 4}, {"topic": "odd name", "sequence": 9}],
+        "configuration": {"revision": 7},
+    }
+    api = OperatorApi(SimpleNamespace(), lambda update: None, lambda servers: document, lambda: False, Log())
+    response = api.answer(message(b"GET", b"/metrics"))
+    assert response.status == 200
+    lines = response.body.decode().splitlines()
+    assert {"iristrack_voting 1", "iristrack_in_quorum 0", "iristrack_members_connected 1"} <= set(lines)
+    assert {"iristrack_configuration_revision 7", "iristrack_configuration_sequence 4"} <= set(lines)
+    assert not any("odd" in line for line in lines)
+
+
 def test_an_invalid_order_is_refused_also_without_a_quorum() -> None:
     api = make_api(SimpleNamespace(), lambda update: None, in_quorum=lambda: False)
     assert api.answer(replace_call(b"{")).status == 400
--- a/tests/system/test_lifecycle.py
+++ b/tests/system/test_lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import os
 import signal
 import socket
@@ -226,3 +227,17 @@
             [sys.executable, "-m", module, "--help"], cwd=ROOT, capture_output=True, text=True, check=True
         )
         assert SETTINGS_VARIABLE in told.stdout
+
+
+def test_both_programs_tell_their_figures_as_text(new_system) -> None:
+    system = new_system(cores=3, edges=1)
+    start_usual(system)
+    for address in (system.edges[0].readiness, system.cores[0].control):
+        connection = http.client.HTTPConnection(address, timeout=PATIENCE_S)
+        connection.request("GET", "/metrics")
+        answer = connection.getresponse()
+        rows = dict(line.split(" ") for line in answer.read().decode().splitlines())
+        connection.close()
+        assert answer.status == 200
+        assert all(name.startswith("iristrack_") and float(value) >= 0 for name, value in rows.items())
+        assert "iristrack_ready" in rows or rows["iristrack_members"] == "3"
