--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -17,10 +17,6 @@
 from iristrack.runtime.scheduler import clock
 
 NS_PER_MS = 1_000_000
-STARTING_NS = (
-    150 * NS_PER_MS
-)  # a quarter of the shortest aim: a request may wait for so long without being offered
-STARTING_TICK_NS = 5 * NS_PER_MS
 NS_PER_S = 1_000 * NS_PER_MS
 RETRY_AFTER_S = 0.4  # told to a client whose request has not run
 SILENT_NS = 1500 * NS_PER_MS  # without a word from a server, at the end of which it counts as failed
@@ -306,22 +302,9 @@
         return event_id is None or self.last_event_id is None or event_id > self.last_event_id
 
 
-def _wait_for_start(plane: PlaneState, client: ClientConnection, arrived: int) -> None:
-    """Wait a little for the first configuration and list of servers, which a starting process has within 0.2 s.
-
-    While few sidecars of a zone are ready, clients are sent to those that are not; told to come back, they would come
-    when their aim has passed.
-    """
-    while plane.active is None or not plane.servers.known:
-        if client.left or clock() >= arrived + STARTING_NS:
-            return
-        plane.scheduler.sleep(STARTING_TICK_NS)
-
-
 def answer_request(plane: PlaneState, client: ClientConnection, message: http.Message, arrived: int) -> bool:
     """Answer one request; whether the client's connection goes on."""
     keep = message.head.keeps_alive and not plane.draining and not client.listener.closing
-    _wait_for_start(plane, client, arrived)
     if plane.active is None:
         client.write(http.response(503, b"no configuration yet\n", b"Retry-After: 0.5\r\n", close=True))
         return False
--- a/tests/dataplane/test_repeats.py
+++ b/tests/dataplane/test_repeats.py
@@ -171,13 +171,6 @@
     assert answer.header(b"retry-after") is not None
 
 
-def test_a_request_of_the_first_moments_waits_for_the_configuration(stand: Stand) -> None:
-    stand.serve(SOUND)
-    active, stand.plane.active = stand.plane.active, None
-    stand.scheduler.call_at(clock() + 20_000_000, lambda: setattr(stand.plane, "active", active))
-    assert stand.ask(asking("safe")).status == 200
-
-
 def test_no_time_left_is_no_time_to_send_anything(stand: Stand) -> None:
     server = stand.serve(SOUND)
     assert stand.ask(asking("safe").replace(b"Left-Ms: 9000", b"Left-Ms: 10")).status == 503
