--- a/iristrack/controlplane/member_changes.py
+++ b/iristrack/controlplane/member_changes.py
@@ -22,7 +22,7 @@
     replaced,
     settled,
 )
-from iristrack.register.succession import Succession
+from iristrack.register.succession import ADDED_NS, LATE_FOUNDER_NS, Succession
 from iristrack.relay import topics
 from iristrack.runtime.scheduler import Scheduler
 from iristrack.wire.messages import MembersValue
@@ -31,6 +31,7 @@
 NS_PER_MS = 1_000_000
 TICK_NS = 250 * NS_PER_MS
 ROUND_NS = 1000 * NS_PER_MS
+FOUNDING_NS = 15_000 * NS_PER_MS  # in a first start: who reports within it was late for the founding
 TURN_NS = 750 * NS_PER_MS  # the next member proposes what the one before it did not
 HAND_OVER_TICK_NS = 20 * NS_PER_MS
 
@@ -47,11 +48,14 @@
         in_quorum: Callable[[], bool],
         publish: Callable[[MembersValue], None],
         log,
+        first_start: bool = False,
     ) -> None:
         """`connected` names the members in touch, this one among them; `reporting` all core machines in touch.
 
-        `in_quorum`: has a quorum of the members answered lately, this one among them?
+        `in_quorum`: has a quorum of the members answered lately, this one among them? `first_start`: the whole system
+        starts for the first time, as the settings say.
         """
+        self._founding_until = scheduler.now() + (FOUNDING_NS if first_start else 0)
         self.in_quorum = in_quorum
         self.scheduler = scheduler
         self.register = register
@@ -88,7 +92,8 @@
         connected = sorted(self.connected())
         now = self.scheduler.now()
         try:
-            proposed = self._succession.next_set(members, connected, self.reporting(), now)
+            added_ns = LATE_FOUNDER_NS if now < self._founding_until else ADDED_NS
+            proposed = self._succession.next_set(members, connected, self.reporting(), now, added_ns)
         except MemberSetError as fault:
             self.log.warning("no change of members", reason=str(fault))
             return
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -166,6 +166,7 @@
             self.quorum.holds,
             self._publish_members,
             self.log,
+            settings.bootstrap,
         )
         ListPoller(
             self.scheduler, settings.provider_api, self.distribution, self._is_first, self.quorum.holds
--- a/iristrack/register/succession.py
+++ b/iristrack/register/succession.py
@@ -16,9 +16,10 @@
 NS_PER_MS = 1_000_000
 SILENT_NS = 1500 * NS_PER_MS  # without a connection, on top of what it takes to notice a silent one
 REPORTED_NS = 500 * NS_PER_MS  # so long a machine has reported that takes a place,
-ADDED_NS = (
-    3000 * NS_PER_MS
-)  # and so long one that is let in beside all: whose place it is to take may fall silent yet
+# One that is let in beside all has reported for so long: whose place it is to take may fall silent or leave yet, and a
+# set that has grown never shrinks. In the first seconds of a whole system it is one that was late for the founding.
+ADDED_NS = 60_000 * NS_PER_MS
+LATE_FOUNDER_NS = 3000 * NS_PER_MS
 
 
 class Succession:
@@ -30,9 +31,17 @@
         self._reported_since: dict[str, int] = {}
 
     def next_set(
-        self, members: MembersValue, connected: Collection[str], reporting: Collection[str], now: int
+        self,
+        members: MembersValue,
+        connected: Collection[str],
+        reporting: Collection[str],
+        now: int,
+        added_ns: int = ADDED_NS,
     ) -> MembersValue | None:
-        """The set to be proposed now, if any; `connected` are the members in touch, this one among them."""
+        """The set to be proposed now, if any; `connected` are the members in touch, this one among them.
+
+        `added_ns`: for how long a machine reports before it is let in beside all.
+        """
         silent = [member for member in members.members if member not in connected]
         spares = [machine for machine in reporting if machine not in members.members]
         _follow(self._silent_since, silent, now)
@@ -40,16 +49,16 @@
         if len(members.members) - len(silent) < quorum_of(members):
             self._silent_since = dict.fromkeys(silent, now)  # it may well be this member that is cut off
             return None
-        return self._draw_up(members, now)
+        return self._draw_up(members, now, added_ns)
 
-    def _draw_up(self, members: MembersValue, now: int) -> MembersValue | None:
+    def _draw_up(self, members: MembersValue, now: int, added_ns: int) -> MembersValue | None:
         silent = _for_long(self._silent_since, SILENT_NS, now)
         if members.joining:
             silent = [member for member in silent if member == members.joining]
         ready = _for_long(self._reported_since, REPORTED_NS, now)
         if silent and ready:
             return replaced(members, silent[0], ready[0])
-        waiting = _for_long(self._reported_since, ADDED_NS, now)
+        waiting = _for_long(self._reported_since, added_ns, now)
         if members.joining or self._silent_since or not waiting or len(members.members) >= MOST_MEMBERS:
             return None
         if len(members.members) % 2 and len(waiting) < 2:
--- a/iristrack/simulation/control.py
+++ b/iristrack/simulation/control.py
@@ -350,11 +350,12 @@
         newcomer.start()
         wait_ns = self.rng.randint(300 * NS_PER_MS, 6 * NS_PER_S)
         self._lost_until[newcomer.name] = self.world.now + CATCH_UP_NS
-        self._later(wait_ns, self._retire, leaving)
+        self._later(wait_ns, self._retire, leaving, newcomer)
         return True
 
-    def _retire(self, leaving: SimulatedCore) -> None:
-        if self._ended or not leaving.is_sound:
+    def _retire(self, leaving: SimulatedCore, newcomer: SimulatedCore) -> None:
+        taken = newcomer.address in self.newest_set().members
+        if self._ended or not leaving.is_sound or not newcomer.up or taken:
             return  # who plans a replacement looks first
         others = [core for core in self._running_members() if core is not leaving]
         if others and self.rng.random() < HALF and self._may_lose_one():
--- a/tests/register/test_succession.py
+++ b/tests/register/test_succession.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 from iristrack.register.member_set import MOST_MEMBERS
-from iristrack.register.succession import ADDED_NS, REPORTED_NS, SILENT_NS, Succession
+from iristrack.register.succession import ADDED_NS, LATE_FOUNDER_NS, REPORTED_NS, SILENT_NS, Succession
 from iristrack.wire.messages import FOUNDED, MembersValue
 
 THREE = MembersValue(FOUNDED, ("a", "b", "c"))
@@ -77,3 +77,15 @@
     assert seen(most, most.members, {"x", "y"}, 0, 10 * ADDED_NS) is None
     silent = seen(most, most.members[1:], {"x"}, 0, SILENT_NS)
     assert silent is not None and len(silent.members) == MOST_MEMBERS
+
+
+def test_machines_that_wait_for_places_do_not_make_the_set_grow_soon_but_in_the_founding() -> None:
+    """Two planned replacements at once: a set that grew by both would bear one loss less when two have left."""
+    five = MembersValue(FOUNDED, ("a", "b", "c", "d", "e"))
+    later, founding = Succession(), Succession()
+    for now in (0, LATE_FOUNDER_NS, ADDED_NS - 1):
+        assert later.next_set(five, "abcde", {"x", "y"}, now) is None
+    assert later.next_set(five, "abcde", {"x", "y"}, ADDED_NS).joining == "x"
+    founding.next_set(five, "abcde", {"x", "y"}, 0, LATE_FOUNDER_NS)
+    grown = founding.next_set(five, "abcde", {"x", "y"}, LATE_FOUNDER_NS, LATE_FOUNDER_NS)
+    assert len(grown.members) == 6
