Test that members catch up after 300 changes, one restarted among them and one wiped

Three control planes take 300 changes; one is killed after 100 and started again after 200, another loses its disk after 200 and starts after all. Both read the newest, a repeat of the twentieth change gets 200 from the wiped one, another content under its number 412, and the sidecar serves by the last one.

Tests alone; no program changed.

--- a/tests/system/test_core_losses.py
+++ b/tests/system/test_core_losses.py
@@ -341,3 +341,32 @@
     wait_until(lambda: read_status(last)["in_quorum"], "contact with a quorum")
     assert system.operator.replace(version(2), 1, first=last.control).status == 200
     wait_served(system, 2)
+
+
+CHANGES = 300
+
+
+def test_after_hundreds_of_changes_a_restarted_and_a_wiped_member_catch_up(system: System) -> None:
+    restarted, wiped, _ = system.cores
+    revision = 1
+    for target in (CHANGES // 3, 2 * CHANGES // 3, CHANGES):
+        while revision < target:
+            revision += 1
+            assert system.operator.replace(version(revision), revision - 1).status == 200
+        if target == CHANGES // 3:
+            restarted.kill()
+        elif target == 2 * CHANGES // 3:
+            restart([restarted])
+            system.wait_listening([restarted])
+            assert newest(system, restarted) == version(revision)
+            wiped.kill()
+            wiped.wipe_disk()
+    restart([wiped])
+    wait_voting(wiped, 2)
+    assert newest(system, wiped) == version(CHANGES)
+    # What was taken long ago is known as taken, by the member that has lost its disk meanwhile too.
+    repeated = call_once(wiped.control, replace_call(version(20), 19))
+    assert repeated.status == 200
+    other = version(20) | {"limits": {**version(20)["limits"], "idle_timeout_ms": 1}}
+    assert call_once(wiped.control, replace_call(other, 19)).status == 412
+    wait_served(system, CHANGES)
