Tell a killed holder's orders by their owner in the test of the duty's take-over

Change: orders are told apart by their owner; those of the holder must all have come before those of one successor, whose fences are all higher. That is as strict: two successors, or turns, fail as before.

--- a/tests/system/test_weights.py
+++ b/tests/system/test_weights.py
@@ -207,12 +207,13 @@
     owner = system.ledger.orders()[0].body["owner"]
     (holder,) = [core for core in system.cores if core.name == owner]
     holder.kill()
-    before = system.ledger.orders()
     wait_revision(system, 2)
-    after = system.ledger.orders()[len(before) :]
-    (successor,) = {order.body["owner"] for order in after}
-    assert successor != owner
-    assert {order.body["owner"] for order in before} == {owner}
+    orders = system.ledger.orders()
+    # What the holder had sent when it was killed may reach a busy server after that: it is told by its owner.
+    before = [order for order in orders if order.body["owner"] == owner]
+    after = [order for order in orders if order.body["owner"] != owner]
+    assert len({order.body["owner"] for order in after}) == 1
+    assert orders == before + after  # they take no turns
     assert min(order.body["fence_no"] for order in after) > max(order.body["fence_no"] for order in before)
     assert 412 not in {order.status for order in after}
 
