--- a/tests/controlplane/test_list_poller.py
+++ b/tests/controlplane/test_list_poller.py
@@ -51,10 +51,13 @@
         self.distribution = Distribution(self.told.append, announcement)
         self.first = first
         self.in_quorum = True
+        self.asked = 0  # how often it wanted to know whether it reaches a quorum
         provider = ProviderInterface(Address(*self.platform.server.address), 1.0, (), 0)
-        ListPoller(
-            self.loop.scheduler, provider, self.distribution, lambda: self.first, lambda: self.in_quorum
-        )
+        ListPoller(self.loop.scheduler, provider, self.distribution, lambda: self.first, self._ask_quorum)
+
+    def _ask_quorum(self) -> bool:
+        self.asked += 1
+        return self.in_quorum
 
     def turn_while(self, holds) -> None:
         self.loop.run(lambda: self.loop.turn_while(holds))
@@ -113,8 +116,7 @@
     monkeypatch.setattr(list_poller, "STALE_NS", 0)
     polled = Polled(page("i-1"))
     polled.in_quorum = False
-    end = polled.loop.scheduler.turns + 200
-    polled.turn_while(lambda: polled.loop.scheduler.turns < end)
+    polled.turn_while(lambda: polled.asked < 5)
     assert polled.platform.server.opened == 0
     polled.in_quorum = True
     polled.turn_while(lambda: not polled.told)
--- a/tests/system/test_weights.py
+++ b/tests/system/test_weights.py
@@ -244,3 +244,16 @@
         core.change_settings(bootstrap=False)
         core.start()
     wait_revision(system, 2)
+
+
+def test_a_holder_whose_fence_is_refused_orders_under_a_higher_one(system: System) -> None:
+    refusing, *_ = chat(system)
+    refusing.weights.highest_fence = 3  # of holders whom the register has forgotten
+    name_version(system, 2)
+    wait_revision(system, 2)
+    orders = [o for o in system.ledger.orders() if o.instance_id == refusing.instance_id]
+    fences = [order.body["fence_no"] for order in orders]
+    assert [order.status for order in orders[:2]] == [412, 412]
+    assert fences == sorted(fences)
+    assert fences[0] < 3 <= fences[-1]
+    assert len(set(fences[:3])) == 3  # none is used again once it was refused
