Wait for time, not for turns, in the test of the time left

The test let 300 turns of the loop pass between two servers and took it that a millisecond goes by in that time; on a fast machine it does not. Change: the first server answers once the data plane's clock is 2 ms on. The demand, strictly less, stays. The system test of the same name was read: its first server answers late by itself.

--- a/tests/dataplane/test_request_lines.py
+++ b/tests/dataplane/test_request_lines.py
@@ -8,6 +8,7 @@
 from iristrack.placement.choice import PIECE_TOKENS
 from iristrack.placement.engines import cache_salt
 from iristrack.prefix_index.answers import KeptPart, ListAnswer
+from iristrack.runtime.scheduler import clock
 from tests.dataplane.stand import (
     MODEL,
     NOT_EXECUTED,
@@ -19,6 +20,7 @@
     yield_turn,
 )
 
+NS_PER_MS = 1_000_000
 SOUND = http.response(200, b"sound", SEALED)
 FULL = http.response(503, b"full", NOT_EXECUTED)
 STORE = "172.20.0.2:8165"
@@ -196,8 +198,8 @@
 
 def test_the_time_left_shrinks_from_one_server_to_the_next(stand: Stand) -> None:
     def late(conversation: Conversation) -> None:
-        begun = conversation.server.scheduler.turns
-        while conversation.server.scheduler.turns < begun + 300:
+        answered_at = clock() + 2 * NS_PER_MS  # the header has whole milliseconds
+        while clock() < answered_at:
             yield_turn(conversation.server.scheduler)
         conversation.send(FULL)
 
