--- /dev/null
+++ b/tests/simulation/planted_faults.py
@@ -0,0 +1,74 @@
+"""Faults that tests plant in the register host, to show that a simulation's referee finds them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from iristrack.register import Acceptor, Proposer, Recovery
+from iristrack.register.acceptor import Outcome
+from iristrack.wire.messages import Accept, Prepare, Promise
+
+
+def vote_without_recovery(self, on_done):
+    """A member whose disk was lost, or that was let in, votes without having read anything from the others."""
+    self._begin(self.member_set, self._draw_incarnation(), (), on_done)
+
+
+def reply_before_record(self, decide, reply):
+    """Replies do not wait for their records."""
+    acceptor = self.acceptor
+    if acceptor is None or not acceptor.voting:
+        return
+    outcome = decide(acceptor)
+    reply(outcome.reply)
+    self.sync.submit([] if outcome.record is None else [outcome.record], lambda ok: None)
+
+
+def handle_any_set(self, message, reply):
+    """Nobody is told of a newer member set."""
+    if isinstance(message, Prepare):
+        self._vote(lambda acceptor: acceptor.handle_prepare(message), reply)
+    elif isinstance(message, Accept):
+        self._vote(lambda acceptor: acceptor.handle_accept(message), reply)
+    else:
+        self._dispatch(message)
+
+
+class AnySetAcceptor(Acceptor):
+    """Takes messages of each member set, and answers as one of that set."""
+
+    def _votes_on(self, key: str, member_sequence: int) -> bool:
+        return super()._votes_on(key, self.member_sequence)
+
+    def handle_prepare(self, prepare: Prepare) -> Outcome:
+        """Promise whatever set the sender goes by."""
+        outcome = super().handle_prepare(prepare)
+        return Outcome(outcome.record, replace(outcome.reply, members=prepare.members))
+
+    def handle_accept(self, accept: Accept) -> Outcome:
+        """Accept whatever set the sender goes by."""
+        outcome = super().handle_accept(accept)
+        return Outcome(outcome.record, replace(outcome.reply, members=accept.members))
+
+
+class ShortQuorumProposer(Proposer):
+    """Goes by one answer too few."""
+
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self.quorum -= 1
+
+
+class ShortQuorumRecovery(Recovery):
+    """Reads from one member too few."""
+
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self.quorum -= 1
+
+
+class TrustingProposer(Proposer):
+    """Counts promises of each incarnation."""
+
+    def _is_known(self, promise: Promise) -> bool:
+        return True
--- a/tests/simulation/test_control.py
+++ b/tests/simulation/test_control.py
@@ -13,6 +13,7 @@
 from iristrack.relay.catch_up import CatchUp
 from iristrack.simulation.control import SCENARIOS, Scenario, first_violation, main, run_seed
 from iristrack.simulation.control_referee import Order, Referee
+from tests.simulation import planted_faults
 
 SEEDS = range(2)
 PLANTED_SEEDS = range(20)
@@ -84,25 +85,10 @@
 REPLACE = changes.replace_configuration
 
 
-def vote_empty(self, on_done):
-    """A member whose disk was lost votes without having read anything from the others."""
-    self._begin(self.member_set, self._draw_incarnation(), (), on_done)
-
-
 def stay_silent(self, stopped, on_done):
     """A disk that refused a record once is never tried again."""
 
 
-def reply_first(self, decide, reply):
-    """Replies do not wait for their records."""
-    acceptor = self.acceptor
-    if acceptor is None or not acceptor.voting:
-        return
-    outcome = decide(acceptor)
-    reply(outcome.reply)
-    self.sync.submit([] if outcome.record is None else [outcome.record], lambda ok: None)
-
-
 RESTARTED_BESIDE_THE_MINORITY = replace(
     SCENARIOS["cut_off_three"], faults=(("cut", 1),), cut_hows=("edges",), duration_ns=SHORT_NS
 )
@@ -131,11 +117,11 @@
     ),
     "3 a member votes before it recovered": (
         LOSSES_ONE_AFTER_THE_OTHER,
-        [(RegisterHost, "_recover", vote_empty)],
+        [(RegisterHost, "_recover", planted_faults.vote_without_recovery)],
     ),
     "4 a reply goes out before its record": (
         POWER_LOST_AMONG_SLOW_SYNCS,
-        [(RegisterHost, "_vote", reply_first)],
+        [(RegisterHost, "_vote", planted_faults.reply_before_record)],
     ),
     "4 a disk that refused once is never tried again": (
         SCENARIOS["bad_disks"],
