--- a/iristrack/simulation/register.py
+++ b/iristrack/simulation/register.py
@@ -149,18 +149,31 @@
         return True
 
     def _inject_wipe(self) -> bool:
-        members = self._around.newest_set().members
-        unrecovered = sum(host.name in members and not host.recovered for host in self.acceptors)
+        members = self._around.newest_set()
         changing = self._changer is not None and self._changer.may_change()
-        if unrecovered + changing >= (len(members) - 1) // 2:
+        if len(self._unrecovered(members)) + changing >= self._bearable(members):
             return False
         host = self._choose_running()
-        if host is None or host.name not in members:
+        if host is None or host.name not in members.members:
             return False
         host.wipe()
         self._start_later(host)
         return True
 
+    def _unrecovered(self, members: MembersValue) -> list[str]:
+        """The members without a whole state on their disks, less one that is joining beside all."""
+        beside_all = members.joining if not members.leaving else ""
+        return [
+            host.name
+            for host in self.acceptors
+            if host.name in members.members and not host.recovered and host.name != beside_all
+        ]
+
+    def _bearable(self, members: MembersValue) -> int:
+        """How many members may be without their disks; one that is joining beside all adds nothing yet."""
+        is_joining_beside_all = members.joining != "" and not members.leaving
+        return (len(members.members) - is_joining_beside_all - 1) // 2
+
     def _inject_cut_one_way(self) -> bool:
         pair = self._choose_pair()
         self._cut_for_a_while([pair])
@@ -226,18 +239,21 @@
         if self._changer is None:
             return False
         known = self._around.newest_set()
-        unrecovered = [h.name for h in self.acceptors if h.name in known.members and not h.recovered]
         spares = [host.name for host in self.acceptors if host.up and host.name not in known.members]
-        if not spares or len(set(unrecovered) - {known.joining}) >= (len(known.members) - 1) // 2:
+        if not spares:
             return False
         proposed = self._draw_change(known, self._rng.choice(spares))
         proposing = self._rng.choice([machine for machine in self.acceptors if machine.up])
         return proposed is not None and self._changer.begin(proposing, known, proposed)
 
     def _draw_change(self, known: MembersValue, spare: str) -> MembersValue | None:
+        """A machine beside all, where so many may be lost already; or in another's place, where that one may be too."""
+        unrecovered = set(self._unrecovered(known))
         try:
             if self._rng.random() < ADDED_SHARE and len(known.members) < self.scenario.acceptors + 2:
-                return added(known, spare)
+                return added(known, spare) if len(unrecovered) <= self._bearable(known) else None
+            if len(unrecovered - {known.joining}) >= self._bearable(known):
+                return None
             return replaced(known, known.joining or self._rng.choice(known.members), spare)
         except MemberSetError:
             return None
--- a/tests/register/test_swarm.py
+++ b/tests/register/test_swarm.py
@@ -7,6 +7,7 @@
 from iristrack.controlplane import register_host
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.simulation.register import Scenario, first_violation, main, run_seed, with_member_changes
+from iristrack.simulation.register_machines import RegisterMachine
 from iristrack.simulation.register_network import MILLISECOND, NetworkFaults
 from iristrack.simulation.register_referee import Referee
 from tests.simulation import planted_faults
@@ -63,14 +64,17 @@
 )
 
 
+CHANGES_ALONE = replace(MEMBER_CHANGES, fault_weights=(("member_change", 8), ("client_crash", 4)))
+NOBODY_IS_TOLD = [(RegisterMachine, "publish", planted_faults.publish_to_nobody)]
 ANY_MEMBER_SET = [
+    *NOBODY_IS_TOLD,
     (register_host, "Acceptor", planted_faults.AnySetAcceptor),
     (RegisterHost, "handle", planted_faults.handle_any_set),
 ]
 UNRECOVERED = [(RegisterHost, "_recover", planted_faults.vote_without_recovery)]
 REPLY_BEFORE_RECORD = [(RegisterHost, "_vote", planted_faults.reply_before_record)]
 PLANTED = {
-    "any_member_set": (MEMBER_CHANGES, ANY_MEMBER_SET),
+    "any_member_set": (CHANGES_ALONE, ANY_MEMBER_SET),
     "joins_unrecovered": (NO_WIPES, UNRECOVERED),
     "short_quorum": (Scenario(), [(register_host, "Proposer", planted_faults.ShortQuorumProposer)]),
     "reply_before_sync": (Scenario(), REPLY_BEFORE_RECORD),
@@ -91,6 +95,12 @@
     assert first_violation(scenario, range(100)) is not None
 
 
+def test_messages_alone_keep_to_one_member_set(monkeypatch: pytest.MonkeyPatch) -> None:
+    for owner, attribute, planted in NOBODY_IS_TOLD:
+        monkeypatch.setattr(owner, attribute, planted)
+    assert first_violation(CHANGES_ALONE, range(30)) is None
+
+
 def test_the_referee_knows_a_fork_a_loss_a_step_back_and_a_refused_value() -> None:
     referee = Referee(("fork", "loss", "back", "refused", "good"))
     for history in referee.histories.values():
--- a/tests/simulation/planted_faults.py
+++ b/tests/simulation/planted_faults.py
@@ -72,3 +72,8 @@
 
     def _is_known(self, promise: Promise) -> bool:
         return True
+
+
+def publish_to_nobody(self, told):
+    """Who has agreed on a member set follows it, and tells nobody; a newcomer finds out by asking."""
+    self._follow(told)
