--- a/iristrack/simulation/register_machines.py
+++ b/iristrack/simulation/register_machines.py
@@ -94,7 +94,9 @@
 
     @property
     def recovered(self) -> bool:
-        """Does the disk hold a whole state to vote from?"""
+        """Does it hold a whole state to vote from, as its process knows, or its disk while none runs?"""
+        if self.up:
+            return self.host.acceptor is not None
         return self.disk.identity is not None and self.disk.identity.incarnation != ""
 
     @property
--- a/tests/simulation/test_control.py
+++ b/tests/simulation/test_control.py
@@ -85,7 +85,7 @@
 REPLACE = changes.replace_configuration
 
 
-def stay_silent(self, stopped, on_done):
+def stay_silent(self, stopped):
     """A disk that refused a record once is never tried again."""
 
 
