--- a/tests/simulation/planted_faults.py
+++ b/tests/simulation/planted_faults.py
@@ -6,6 +6,7 @@
 
 from iristrack.register import Acceptor, Proposer, Recovery
 from iristrack.register.acceptor import Outcome
+from iristrack.register.member_set import quorum_of
 from iristrack.wire.messages import Accept, Prepare, Promise
 
 
@@ -67,6 +68,22 @@
         self.quorum -= 1
 
 
+class LeaverlessRecovery(Recovery):
+    """A newcomer does not read from the member that it replaces."""
+
+    def __init__(self, acceptor, identity, members, *arguments, **options) -> None:
+        super().__init__(acceptor, identity, members, *arguments, **options)
+        self.others = tuple(other for other in self.others if other != members.leaving)
+
+
+class WholeQuorumRecovery(Recovery):
+    """Of an even set a recovery needs a quorum of others, and not half of the members."""
+
+    def __init__(self, acceptor, identity, members, *arguments, **options) -> None:
+        super().__init__(acceptor, identity, members, *arguments, **options)
+        self.quorum = quorum_of(members)
+
+
 class TrustingProposer(Proposer):
     """Counts promises of each incarnation."""
 
--- a/tests/simulation/test_control.py
+++ b/tests/simulation/test_control.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from iristrack.controlplane import changes, operator_api
+from iristrack.controlplane import changes, operator_api, register_host
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.dataplane.core_view import CoreView
 from iristrack.register import Refuse, Unchanged
@@ -98,6 +98,7 @@
 POWER_LOST_AMONG_SLOW_SYNCS = Scenario(
     (("herd_kill", 1),), fault_pause_ns=1_500_000_000, operator_pause_ns=50_000_000, sync_ns=60_000_000
 )
+PLANNED_REPLACEMENTS = Scenario((("replace_planned", 1),), fault_pause_ns=1_500_000_000)
 PLANTED = {
     "1 nobody asks for what the hub does not push": (
         SCENARIOS["cut_off"],
@@ -119,6 +120,14 @@
         LOSSES_ONE_AFTER_THE_OTHER,
         [(RegisterHost, "_recover", planted_faults.vote_without_recovery)],
     ),
+    "3 a newcomer does not read from the member that leaves": (
+        PLANNED_REPLACEMENTS,
+        [(register_host, "Recovery", planted_faults.LeaverlessRecovery)],
+    ),
+    "3 one that joins beside all and a lost one wait for each other": (
+        SCENARIOS["late_machines"],
+        [(register_host, "Recovery", planted_faults.WholeQuorumRecovery)],
+    ),
     "4 a reply goes out before its record": (
         POWER_LOST_AMONG_SLOW_SYNCS,
         [(RegisterHost, "_vote", planted_faults.reply_before_record)],
@@ -140,8 +149,18 @@
 
 @pytest.mark.parametrize(
     "scenario",
-    [RESTARTED_BESIDE_THE_MINORITY, LOSSES_ONE_AFTER_THE_OTHER, POWER_LOST_AMONG_SLOW_SYNCS],
-    ids=["restarted_beside_the_minority", "losses_one_after_the_other", "power_lost_among_slow_syncs"],
+    [
+        RESTARTED_BESIDE_THE_MINORITY,
+        LOSSES_ONE_AFTER_THE_OTHER,
+        POWER_LOST_AMONG_SLOW_SYNCS,
+        PLANNED_REPLACEMENTS,
+    ],
+    ids=[
+        "restarted_beside_the_minority",
+        "losses_one_after_the_other",
+        "power_lost_among_slow_syncs",
+        "planned_replacements",
+    ],
 )
 def test_where_faults_are_planted_the_program_itself_violates_nothing(scenario: Scenario) -> None:
     assert first_violation(scenario, SEEDS) is None
