--- a/tests/dataplane/stand.py
+++ b/tests/dataplane/stand.py
@@ -224,7 +224,10 @@
 
     def serve(self, *answers: Answer, service: str = "pool", revision: int = 1) -> StandInServer:
         """A further server on the list; of those that are equally busy the earlier one is asked first."""
-        server = StandInServer(self.scheduler, answers)
+        return self.add(StandInServer(self.scheduler, answers), service, revision)
+
+    def add(self, server: StandInServer, service: str = "pool", revision: int = 1) -> StandInServer:
+        """Name a server on the list."""
         name = f"i-{len(self.entries)}"
         self.servers[name] = server
         self.entries.append(
