Write down a newcomer's second process that a leaving member takes for its first

Cause: found by thinking the mend of replaced members through: the leaving member serves the first process that reaches it. Where the newcomer's first one recovered while its way there was cut, voted, and lost its disk before the set was settled, the second one reads from a member that knows nothing of that vote. Ruled out: what a member that granted remembers, as a later recovery takes its place; a lock at the leaving member, as nothing reaches it behind a cut.

--- a/tests/register/test_member_set.py
+++ b/tests/register/test_member_set.py
@@ -187,6 +187,15 @@
     assert group.acceptors["d"].cell(KEY).value == b"new"
 
 
+def test_a_newcomer_that_voted_without_the_one_it_replaced_does_not_read_from_it_later() -> None:
+    """The first process recovers while its way to the leaving member is cut, so that this one knows nothing of it."""
+    group = Round(replaced(FIRST, "a", "d"))
+    assert group.recover("first", {"b", "c"})
+    assert isinstance(group.change(b"new", {"b", "d"}), Committed)
+    del group.acceptors["d"]
+    assert not group.recover("second", {"a", "c"})
+
+
 def test_sets_change_and_settle_in_the_simulation() -> None:
     figures = run_seed(with_member_changes(Scenario(), 3), 0).figures
     assert figures["sets_changed"] > 0
