--- a/iristrack/controlplane/register_host.py
+++ b/iristrack/controlplane/register_host.py
@@ -109,6 +109,7 @@
         self._left: Acceptor | None = (
             None  # of this process as it was replaced, for its successor to read from
         )
+        self._when_voting_again: Callable[[], None] = lambda: None  # once the disk takes records again
         self._on_disk: dict[str, Cell] = {}  # the cells as they are on the disk, of a voting acceptor
         if self.member_set.members and opened.identity is not None and opened.identity.incarnation:
             cells = {key: Cell(r.promised, r.accepted, r.value) for key, r in opened.cells.items()}
@@ -178,6 +179,8 @@
             self._recover(on_done)
         elif self.voting:
             self._vote_under(told, on_done)
+        elif self.acceptor is not None:
+            self._vote_under_later(told, on_done)
         elif first_start and told.sequence == FOUNDED:
             self._begin(told, self._draw_incarnation(), (), on_done)
         else:
@@ -190,8 +193,8 @@
 
     @property
     def _is_idle(self) -> bool:
-        """Does it neither vote nor come to vote?"""
-        return not self.voting and self._recovery is None and not self._forming
+        """Does it neither vote nor come to vote, and not wait for its disk either?"""
+        return self.acceptor is None and self._recovery is None and not self._forming
 
     def _vote_under(self, told: MembersValue, on_done: Callable[[], None]) -> None:
         """Answer messages of this set alone, from the next one on; replies wait for its record like all others."""
@@ -205,19 +208,27 @@
                 on_done()
             elif self.voting:
                 self._stop_voting(on_done)
+            elif self.acceptor is not None:
+                self._when_voting_again = on_done
 
         self.sync.submit([BlobRecord(MEMBERS_BLOB, encode_value(told))], written)
 
+    def _vote_under_later(self, told: MembersValue, on_done: Callable[[], None]) -> None:
+        """Go by this set as soon as the disk takes records again: what it holds is not lost, others may need it."""
+        self.member_set = told
+        self._when_voting_again = on_done
+
     def _stop_voting(self, on_done: Callable[[], None] = lambda: None) -> None:
         """The disk refused a record; `on_done` is called once it takes records and this process votes again."""
         self.acceptor.write_failed()
         self.log.error("no vote for now: the disk refused a record")
-        self._try_disk_later(self.acceptor, on_done)
+        self._when_voting_again = on_done
+        self._try_disk_later(self.acceptor)
 
-    def _try_disk_later(self, stopped: Acceptor, on_done: Callable[[], None]) -> None:
-        self.scheduler.call_at(self.scheduler.now() + DISK_RETRY_NS, self._try_disk, stopped, on_done)
+    def _try_disk_later(self, stopped: Acceptor) -> None:
+        self.scheduler.call_at(self.scheduler.now() + DISK_RETRY_NS, self._try_disk, stopped)
 
-    def _try_disk(self, stopped: Acceptor, on_done: Callable[[], None]) -> None:
+    def _try_disk(self, stopped: Acceptor) -> None:
         """Vote again, from what is on the disk, if that takes the identity and the member set now."""
         if self.acceptor is not stopped:
             return  # it was retired meanwhile, or has recovered from the others
@@ -227,11 +238,11 @@
             if self.acceptor is not stopped:
                 return
             if not ok or self.member_set is not members:
-                self._try_disk_later(stopped, on_done)
+                self._try_disk_later(stopped)
                 return
             self.acceptor = self._make_acceptor(self._disk_incarnation, self._on_disk)
             self.log.info("voting again", incarnation=self.acceptor.incarnation)
-            on_done()
+            self._when_voting_again()
 
         identity = IdentityRecord(self._disk_incarnation, self.sync_node)
         self.sync.submit([identity, BlobRecord(MEMBERS_BLOB, encode_value(members))], written)
@@ -250,7 +261,7 @@
             return
         if retiring.voting and told.leaving == self.name:
             self._left = retiring
-            self._left.member_sequence = told.sequence
+            self._left.serve_successor(told.sequence)
         self.log.info("retired", sequence=told.sequence, members=",".join(told.members))
         records = [IdentityRecord("", self.sync_node), BlobRecord(MEMBERS_BLOB, encode_value(told))]
         self.sync.submit(records, lambda ok: None)
@@ -310,7 +321,8 @@
                 on_done()
 
         cells = {r.key: Cell(r.promised, r.accepted, r.value) for r in records}
-        self.sync.submit([identity, blob, *records], written)
+        # The identity is the last: after a loss of power while this is written it must not stand without the cells.
+        self.sync.submit([blob, *records, identity], written)
 
     def _begin_again(
         self,
--- a/iristrack/register/acceptor.py
+++ b/iristrack/register/acceptor.py
@@ -90,6 +90,8 @@
         self._disk_incarnation = incarnation
         self._cells = dict(cells)
         self._keys = frozenset(keys) | {RECOVERY_KEY}
+        self._is_replaced = False
+        self._successor = ""  # the process that reads from this acceptor since it was replaced
 
     @property
     def incarnation(self) -> str:
@@ -103,9 +105,18 @@
         """Return what is held of the key."""
         return self._cells.get(key, EMPTY_CELL)
 
+    def serve_successor(self, member_sequence: int) -> None:
+        """Vote no more, and let the process that takes this acceptor's place in that set read what it holds.
+
+        That is the first process that asks. Another one of the same member may have lost a disk on which it had voted
+        in the new set already, and has to read that from the new set's members alone (`member_set.py`).
+        """
+        self.member_sequence = member_sequence
+        self._is_replaced = True
+
     def handle_prepare(self, prepare: Prepare) -> Outcome:
         """Promise the ballot unless a higher one was promised; the same one is promised again."""
-        if not self._votes_on(prepare.key, prepare.members):
+        if not self._votes_on(prepare.key, prepare.members) or not self._may_read(prepare.ballot.proposer):
             return Outcome(None, self._promise(prepare, EMPTY_CELL, granted=False))
         cell = self.cell(prepare.key)
         if prepare.ballot < cell.promised or prepare.ballot == NO_BALLOT:
@@ -116,7 +127,8 @@
 
     def handle_accept(self, accept: Accept) -> Outcome:
         """Accept the value unless a higher ballot was promised or the promise was another incarnation's."""
-        if accept.key == RECOVERY_KEY or not self._votes_on(accept.key, accept.members):
+        is_vote = accept.key != RECOVERY_KEY and not self._is_replaced
+        if not is_vote or not self._votes_on(accept.key, accept.members):
             return Outcome(None, self._accepted(accept, EMPTY_CELL, granted=False))
         cell = self.cell(accept.key)
         if not self._may_accept(accept, cell):
@@ -132,6 +144,12 @@
     def _votes_on(self, key: str, member_sequence: int) -> bool:
         return self.voting and key in self._keys and member_sequence == self.member_sequence
 
+    def _may_read(self, proposer: str) -> bool:
+        if not self._is_replaced:
+            return True
+        self._successor = self._successor or proposer
+        return proposer == self._successor
+
     def _may_accept(self, accept: Accept, cell: Cell) -> bool:
         if accept.ballot < cell.promised or accept.ballot == NO_BALLOT:
             return False
--- a/iristrack/register/member_set.py
+++ b/iristrack/register/member_set.py
@@ -15,13 +15,17 @@
 one that goes by T and refuses S from then on. So a round under S either ended at C before, and B's reads, which come
 after, see it as the reads of a recovery see a first round that ended before the disk was lost; or it cannot end. A may
 have its disk and vote under S for ever, having heard of nothing: no quorum of S can be had without such a C. A that has
-granted has T on its disk, as the grant waited for that record, and never votes under S again.
+granted has T on its disk, as the grant waited for that record, and never votes under S again. It grants to one process
+of B alone, the first that asks: if B votes, and loses its disk before the set is settled, what it had accepted under T
+may be held by one other member and is not known to A. B's next process reads from N // 2 + 1 members of T then, which
+meet T's quorums as those of any recovery do.
 
-*B is added* (M = N + 1). A quorum of S has N // 2 + 1 of N members, R has (N + 1) // 2 + 1 of the same N: they meet.
+*B is added* (M = N + 1). A quorum of S has N // 2 + 1 of N members, R has (M + 1) // 2 = N // 2 + 1 of the same N: they
+meet.
 
 *Rounds under T* are led by proposers that know T, and T's quorums without B meet those of S: N // 2 + 1 and N // 2 of
 N - 1 where A was replaced, (N + 1) // 2 + 1 and N // 2 + 1 of N where B was added. They meet R alike, which has N // 2
-members of these N - 1 at least. Those with B are of use only after B has recovered.
+members of these N - 1 at least, and N // 2 + 1 of the N. Those with B are of use only after B has recovered.
 
 *One change after another.* The next change is made of a settled set only, when rounds under S cannot end any more. The
 exception is B itself: it may be replaced while it is joining, as its successor's R meets the quorums of S and those of
--- a/iristrack/register/recovery.py
+++ b/iristrack/register/recovery.py
@@ -1,6 +1,7 @@
 """The recovery of an acceptor whose disk came back empty, or that was let into the member set (`member_set.py`).
 
-Two rounds, both at N // 2 + 1 *other* voting members (N counts all members, this one too):
+Two rounds, both at half of the members or more, of *other* voting ones: (N + 1) // 2, where N counts all members, this
+one too. Where it takes the place of a member that leaves, N // 2 + 1, that member among them if it is there:
 
 1. Announce: a `Prepare` on `RECOVERY_KEY`. Each member that grants it tells another incarnation from then on.
 2. Read: a `Prepare` on each key at the members that granted the first round, with a ballot above all that they have
@@ -14,8 +15,8 @@
 Why no acknowledged value is lost
 ---------------------------------
 Let A lose its disk at time w, and R be the members that granted its second round for a key. Take a proposal with ballot
-p whose first round ended (ever) at the quorum Q. Q without A has at least N // 2 members, R has N // 2 + 1, there are
-N - 1 others: some member B is in both.
+p whose first round ended (ever) at the quorum Q. Q without A has at least N // 2 members, R has (N + 1) // 2, together
+N, and there are N - 1 others: some member B is in both.
 
 *Forgotten promises.* Let the old A's promise be counted in Q. If B promised p before it granted b, then b > p. If it
 promised p after, it had by then granted the announcement, which came after w, hence after A's promise, hence after the
@@ -76,6 +77,18 @@
     promises: dict[str, Promise] = field(default_factory=dict)
 
 
+def recovery_quorum(members: MembersValue, acceptor: str) -> int:
+    """How many other members an acceptor needs to recover from.
+
+    Of an even set one less than a quorum will do. That matters: a member that is let in beside three, and one of the
+    three that has lost its disk meanwhile, would wait for each other for ever otherwise.
+    """
+    size = len(members.members)
+    if members.joining == acceptor and members.leaving:
+        return max(1, min(size // 2 + 1, size - 1))
+    return (size + 1) // 2
+
+
 class Recovery:
     """One recovery of one acceptor; it has no deadline and goes on until it has finished."""
 
@@ -94,10 +107,9 @@
         """
         self.member_sequence = members.sequence
         self.others = tuple(member for member in members.members if member != acceptor)
-        self.quorum = len(members.members) // 2 + 1
-        if members.joining == acceptor:
-            self.quorum = max(1, min(self.quorum, len(self.others)))
-            self.others += (members.leaving,) if members.leaving else ()
+        self.quorum = recovery_quorum(members, acceptor)
+        if members.joining == acceptor and members.leaving:
+            self.others += (members.leaving,)
         if len(self.others) < self.quorum:
             raise ValueError("too few other members to recover from")
         self._identity = identity
--- a/iristrack/simulation/control.py
+++ b/iristrack/simulation/control.py
@@ -28,6 +28,7 @@
 NS_PER_S = 1_000 * NS_PER_MS
 START_SPREAD_NS = 300 * NS_PER_MS
 FIRST_FAULT_NS = 4 * NS_PER_S
+LATEST_START_NS = 8 * NS_PER_S  # of a machine that is late for the founding
 TICK_NS = 100 * NS_PER_MS
 CONTACT_NS = 3 * NS_PER_S  # after the core's last trouble, until times are calm
 CATCH_UP_NS = 4 * NS_PER_S  # a lost machine counts as lost for so long after its start
@@ -54,6 +55,7 @@
     sync_ns: int = USUAL_SYNC_NS
     cut_hows: tuple[str, ...] = CUT_HOWS
     operator_pause_ns: int = 300 * NS_PER_MS
+    late_cores: int = 0  # machines that are let in beside all soon after the start
 
 
 SCENARIOS = {
@@ -71,6 +73,12 @@
         (("replace", 4), ("replace_planned", 4), ("wipe", 3), ("wipe_acknowledger", 2), ("kill", 2)),
         cores=5,
     ),
+    "late_machines": Scenario(
+        (("wipe", 4), ("wipe_acknowledger", 2), ("kill", 2), ("refusing_disk", 1)),
+        late_cores=2,
+        fault_pause_ns=1000 * NS_PER_MS,
+        duration_ns=20 * NS_PER_S,
+    ),
     "restarts": Scenario(
         (
             ("kill", 3),
@@ -157,6 +165,8 @@
             operator.pause_ns = self.scenario.operator_pause_ns
             operator.on_acknowledged = self._on_acknowledged
             self.world.at(NS_PER_S, None, operator.start)
+        for _ in range(self.scenario.late_cores):
+            self._later(self.rng.randint(NS_PER_S, LATEST_START_NS), self._newcomer().start)
         self.world.at(TICK_NS, None, self._tick)
         self.world.at(FIRST_FAULT_NS, None, self._inject)
         self.world.run_until(self.scenario.duration_ns)
@@ -243,8 +253,13 @@
             for core in self.cores
             if core.address in members.members and (core.gone or not core.disk.identity)
         ]
-        bearable = (len(members.members) - 1) // 2
-        return not members.joining and len(self._lost_until.keys() | {core.name for core in empty}) < bearable
+        beside_all = bool(members.joining) and not members.leaving
+        if beside_all:
+            empty = [core for core in empty if core.address != members.joining]
+        elif members.joining:
+            return False
+        bearable = (len(members.members) - beside_all - 1) // 2
+        return len(self._lost_until.keys() | {core.name for core in empty}) < bearable
 
     def _mark_lost(self, core: SimulatedCore, back_in_ns: int) -> None:
         self._lost_until[core.name] = self.world.now + back_in_ns + CATCH_UP_NS
--- a/iristrack/simulation/control_nodes.py
+++ b/iristrack/simulation/control_nodes.py
@@ -16,7 +16,7 @@
 from iristrack.http1.serving import Response
 from iristrack.settings import Settings, read_settings
 from iristrack.simulation.control_referee import Order, Referee
-from iristrack.simulation.virtual_machines import Network, VirtualDisk, VirtualSync
+from iristrack.simulation.virtual_machines import Network, SilentLog, VirtualDisk, VirtualSync
 from iristrack.simulation.virtual_time import VirtualScheduler, World
 from iristrack.standin.documents import configuration
 
@@ -30,23 +30,6 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 
 
-class SilentLog:
-    """Takes the programs' log lines; the last ones are kept for a failing run."""
-
-    def __init__(self, world: World, name: str, lines: list[str]) -> None:
-        """`lines` is shared by all processes."""
-        self.world = world
-        self.name = name
-        self.lines = lines
-
-    def info(self, event: str, **fields: object) -> None:
-        """Keep a line."""
-        text = " ".join(f"{key}={value}" for key, value in fields.items())
-        self.lines.append(f"{self.world.now / 1e9:.3f} {self.name} {event} {text}")
-
-    warning = error = exception = info
-
-
 class VirtualEnvironment:
     """Virtual time, disk and links for one start of a control plane."""
 
@@ -142,9 +125,7 @@
         """End the process at once; of what was not synced a part may be on the disk."""
         if not self.up:
             return
-        pending = self.plane.environment.sync.unsynced()
-        if not self.disk.refusing:
-            self.disk.keep(pending[: self.rng.randint(0, len(pending))])
+        self.disk.keep_some(self.plane.environment.sync.unsynced(), self.rng)
         self.plane.scheduler.alive = False
         self.serving = False
         self.network.listeners.pop(self.address, None)
--- a/iristrack/simulation/explorer.py
+++ b/iristrack/simulation/explorer.py
@@ -43,6 +43,8 @@
     replaced,
     settled,
 )
+from iristrack.register.member_set import added, quorum_of
+from iristrack.register.recovery import recovery_quorum
 from iristrack.wire.messages import FOUNDED, NO_BALLOT, Accepted, MembersValue, Prepare, Promise
 
 KEY = "configuration"
@@ -75,6 +77,7 @@
     wipes: int = 0  # disks that are lost
     leave: bool = False  # `a` is replaced by the spare while it is there
     replacement: bool = False  # `a` is gone for good and replaced by the spare
+    addition: bool = False  # the spare is let in beside all
     proposers: int = 2
     most_states: int = 60_000
     planted: str = ""  # a fault of PLANTED
@@ -88,6 +91,8 @@
     "replacement": Scope(replacement=True, proposers=1, most_states=200_000),
     "leave": Scope(leave=True, proposers=1, most_states=200_000),
     "leave_and_wipe": Scope(leave=True, wipes=1, proposers=1, most_states=200_000),
+    "addition": Scope(addition=True, proposers=1, most_states=200_000),
+    "addition_and_wipe": Scope(addition=True, wipes=1, proposers=1, most_states=200_000),
 }
 PLANTED = ("quorum", "no_recovery")
 
@@ -255,7 +260,7 @@
                 yield f"crash {name}", self._crash(state, name)
             if state.wipes and machine.acceptor is not None and machine.name in machine.members.members:
                 yield f"wipe {name}", self._wipe(state, name)
-        if state.changed is None and (self.scope.leave or self.scope.replacement):
+        if state.changed is None and (self.scope.leave or self.scope.replacement or self.scope.addition):
             yield "change the set", self._change_set(state)
         if state.changed is not None:
             yield from self._tell_set(state)
@@ -360,7 +365,7 @@
         """The set is decided on at a quorum of the first one: those have it on their disks."""
         state = clone(state)
         first = MembersValue(FOUNDED, MEMBERS)
-        state.changed = replaced(first, MEMBERS[0], SPARE)
+        state.changed = added(first, SPARE) if self.scope.addition else replaced(first, MEMBERS[0], SPARE)
         if self.scope.replacement:
             state.machines[MEMBERS[0]].gone = True
         return state
@@ -381,8 +386,10 @@
             self._begin_recovery(state, machine)
         elif machine.acceptor is not None:
             # A member, or the one that is replaced, which answers its successor alone and has no vote after a start.
-            machine.acceptor.member_sequence = state.changed.sequence
-            if name not in state.changed.members:
+            if name in state.changed.members:
+                machine.acceptor.member_sequence = state.changed.sequence
+            else:
+                machine.acceptor.serve_successor(state.changed.sequence)
                 machine.incarnation = ""
         elif machine.recovery is not None and name in state.changed.members:
             self._begin_recovery(state, machine)
@@ -429,8 +436,28 @@
             missing = self._missing(state, result.value)
             if missing is not None:
                 return f"{result.value!r} was told as committed and {missing} can vote without it"
+        waiting = self._waiting_for_ever(state)
+        if waiting:
+            return f"{', '.join(waiting)} wait for each other for ever, and the others are no quorum"
         return None
 
+    def _waiting_for_ever(self, state: State) -> list[str]:
+        """The members that can never recover, where the others are no quorum; empty where there is one in the end."""
+        members = state.changed or MembersValue(FOUNDED, MEMBERS)
+        present = [name for name in members.members if not state.machines[name].gone]
+        voting = {name for name in present if state.machines[name].acceptor is not None}
+        leaver = state.machines.get(members.leaving)
+        leaver_answers = leaver is not None and leaver.acceptor is not None and not leaver.gone
+        waiting = set(present) - voting
+        while able := {
+            name
+            for name in waiting
+            if len(voting) + (leaver_answers and name == members.joining) >= recovery_quorum(members, name)
+        }:
+            voting |= able
+            waiting -= able
+        return [] if len(voting) >= quorum_of(members) else sorted(waiting)
+
     def _missing(self, state: State, value: bytes) -> str | None:
         """A quorum of voting members of the newest set of which nobody holds the value, if there is one."""
         newest = max((m.members for m in state.machines.values()), key=lambda members: members.sequence)
@@ -516,7 +543,12 @@
             m.starts,
             repr(m.unsynced),
             m.acceptor is not None
-            and (m.acceptor.member_sequence, m.acceptor.incarnation, repr(sorted(m.acceptor._cells.items()))),
+            and (
+                m.acceptor.member_sequence,
+                m.acceptor.incarnation,
+                m.acceptor._successor,
+                repr(sorted(m.acceptor._cells.items())),
+            ),
             m.recovery is not None and _recovery_mark(m.recovery),
         )
         for m in state.machines.values()
--- a/iristrack/simulation/register.py
+++ b/iristrack/simulation/register.py
@@ -1,4 +1,4 @@
-"""Simulation of the compare-and-set registers in virtual time.
+"""Simulation of the registers in virtual time: the real register hosts on a network without connections.
 
     python -m iristrack.simulation.register --seeds 300
 
@@ -15,35 +15,27 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from iristrack.register.effects import Effect, SendTo
-from iristrack.register.identity import ProposerIdentity
 from iristrack.register.member_set import MemberSetError, added, replaced
-from iristrack.register.proposer import Committed, Proposer
-from iristrack.simulation.register_events import (
-    FAULTLESS,
-    MILLISECOND,
-    SECOND,
-    EventQueue,
-    Network,
-    NetworkFaults,
-)
-from iristrack.simulation.register_nodes import (
+from iristrack.register.proposer import Committed, ProposerResult
+from iristrack.simulation.register_machines import (
     SLOW_SYNC_NS,
     USUAL_SYNC_NS,
-    AcceptorHost,
     Client,
     MemberChanger,
-    Planted,
+    RegisterMachine,
     Surroundings,
-    read_only,
 )
+from iristrack.simulation.register_network import FAULTLESS, MILLISECOND, LossyNetwork, NetworkFaults
 from iristrack.simulation.register_referee import Referee
+from iristrack.simulation.virtual_time import World
 from iristrack.wire.messages import FOUNDED, MembersValue
 
+SECOND = 1_000 * MILLISECOND
 HEALING_NS = 10 * SECOND
 LAST_READ_LIMIT_NS = 10 * SECOND
 READER = "reader"
 STALLED_SHARE = 0.5
+RESTARTED_SHARE = 0.5  # of the machines whose disk refused records
 MEMBER_CHANGE_WEIGHT = 8  # among the faults, where there are spare machines
 ADDED_SHARE = 0.3  # of the changes of the member set; the others replace a member
 WIPE_AFTER_STALL_NS = 100 * MILLISECOND
@@ -73,7 +65,6 @@
         ("refused_writes", 2),
         ("client_crash", 2),
     )
-    planted: Planted = field(default_factory=Planted)
 
 
 @dataclass(slots=True)
@@ -92,48 +83,41 @@
         """Set up all hosts."""
         self.scenario = scenario
         self.figures: Counter[str] = Counter()
-        self.queue = EventQueue()
+        self.world = World()
         self._rng = random.Random(seed)
-        self.network = Network(self.queue, self._rng, scenario.network, self.figures)
+        self.network = LossyNetwork(self.world, self._rng, scenario.network, self.figures)
         members = tuple(f"core{index}" for index in range(scenario.acceptors))
         if scenario.spare_core_links:
             self.network.spare_links_among(members)
         self.referee = Referee(scenario.keys)
+        founded = MembersValue(FOUNDED, members)
         self._around = Surroundings(
-            self.queue,
-            self.network,
-            self._rng,
-            self.figures,
-            MembersValue(FOUNDED, members),
-            scenario.keys,
-            self.referee,
-            scenario.planted,
-            changing_members=scenario.spares > 0,
+            self.world, self.network, self._rng, self.figures, founded, scenario.keys, self.referee
         )
         spares = [f"spare{index}" for index in range(scenario.spares)]
-        self.acceptors = [AcceptorHost(name, self._around) for name in (*members, *spares)]
-        self._changer = MemberChanger("changer", self._around) if spares else None
+        self.acceptors = [RegisterMachine(name, self._around) for name in (*members, *spares)]
+        self._changer = MemberChanger(self._around) if spares else None
         self.clients = [Client(f"proposer{index}", self._around) for index in range(scenario.clients)]
         self._kinds = [kind for kind, _ in scenario.fault_weights]
         self._weights = [weight for _, weight in scenario.fault_weights]
-        self._cuts: list[tuple[str, str]] = []
 
     def run(self) -> RunResult:
         """Run through the faults, heal everything, and judge the last reads."""
         self._schedule_fault()
-        self.queue.run_until(self.scenario.duration_ns)
+        self.world.run_until(self.scenario.duration_ns)
         self._heal()
-        self.queue.run_until(self.queue.now + HEALING_NS)
-        for key in self.scenario.keys:
-            self._read_last(key)
-        return RunResult(self.referee.violations, self.figures, self.queue.now)
+        self.world.run_until(self.world.now + HEALING_NS)
+        self._read_last()
+        self.figures["recoveries_finished"] = self._around.events["voting"]
+        violations = self.referee.violations + [f"failure: {text}" for text in self.world.failures]
+        return RunResult(violations, self.figures, self.world.now)
 
     def _schedule_fault(self) -> None:
         pause = self._rng.randint(1, 2 * self.scenario.fault_interval_ns)
-        self.queue.add(self.queue.now + pause, self._inject)
+        self.world.at(self.world.now + pause, None, self._inject)
 
     def _inject(self) -> None:
-        if self.queue.now >= self.scenario.duration_ns:
+        if self.world.now >= self.scenario.duration_ns:
             return
         kind = self._rng.choices(self._kinds, self._weights)[0]
         if getattr(self, f"_inject_{kind}")():
@@ -142,17 +126,17 @@
 
     def _later(self, action: Callable[[], None]) -> None:
         pause = self._rng.randint(1, self.scenario.longest_fault_ns)
-        self.queue.add(self.queue.now + pause, action)
+        self.world.at(self.world.now + pause, None, action)
 
-    def _start_later(self, host: AcceptorHost) -> None:
+    def _start_later(self, host: RegisterMachine) -> None:
         pause = self._rng.randint(1, self.scenario.longest_outage_ns)
-        self.queue.add(self.queue.now + pause, lambda: self._start_if_down(host))
+        self.world.at(self.world.now + pause, None, lambda: self._start_if_down(host))
 
-    def _choose_running(self) -> AcceptorHost | None:
+    def _choose_running(self) -> RegisterMachine | None:
         running = [host for host in self.acceptors if host.up]
         return self._rng.choice(running) if running else None
 
-    def _start_if_down(self, host: AcceptorHost) -> None:
+    def _start_if_down(self, host: RegisterMachine) -> None:
         if not host.up:
             host.start()
 
@@ -165,18 +149,31 @@
         return True
 
     def _inject_wipe(self) -> bool:
-        members = self._around.newest_set().members
-        unrecovered = sum(host.name in members and not host.disk.incarnation for host in self.acceptors)
+        members = self._around.newest_set()
         changing = self._changer is not None and self._changer.may_change()
-        if unrecovered + changing >= (len(members) - 1) // 2:
+        if len(self._unrecovered(members)) + changing >= self._bearable(members):
             return False
         host = self._choose_running()
-        if host is None or host.name not in members:
+        if host is None or host.name not in members.members:
             return False
         host.wipe()
         self._start_later(host)
         return True
 
+    def _unrecovered(self, members: MembersValue) -> list[str]:
+        """The members without a whole state on their disks, less one that is joining beside all."""
+        beside_all = members.joining if not members.leaving else ""
+        return [
+            host.name
+            for host in self.acceptors
+            if host.name in members.members and not host.recovered and host.name != beside_all
+        ]
+
+    def _bearable(self, members: MembersValue) -> int:
+        """How many members may be without their disks; one that is joining beside all adds nothing yet."""
+        is_joining_beside_all = members.joining != "" and not members.leaving
+        return (len(members.members) - is_joining_beside_all - 1) // 2
+
     def _inject_cut_one_way(self) -> bool:
         pair = self._choose_pair()
         self._cut_for_a_while([pair])
@@ -202,7 +199,7 @@
         for client in self.clients:
             for host in self.acceptors:
                 if self._rng.random() < STALLED_SHARE:
-                    until = self.queue.now + self._rng.randint(1, self.scenario.longest_fault_ns)
+                    until = self.world.now + self._rng.randint(1, self.scenario.longest_fault_ns)
                     self.network.stall(client.name, host.name, until)
         return True
 
@@ -210,30 +207,31 @@
         """Stall links, and take a disk while answers to what was sent before are still under way."""
         self._inject_stall()
         pause = self._rng.randint(1, WIPE_AFTER_STALL_NS)
-        self.queue.add(self.queue.now + pause, self._inject_wipe)
+        self.world.at(self.world.now + pause, None, self._inject_wipe)
         return True
 
     def _inject_slow_disk(self) -> bool:
         host = self._rng.choice(self.acceptors)
-        host.sync_ns = SLOW_SYNC_NS
-        self._later(lambda: setattr(host, "sync_ns", USUAL_SYNC_NS))
+        host.disk.sync_ns = SLOW_SYNC_NS
+        self._later(lambda: setattr(host.disk, "sync_ns", USUAL_SYNC_NS))
         return True
 
     def _inject_refused_writes(self) -> bool:
-        host = self._choose_running()
-        if host is None or not host.disk.incarnation:
+        machine = self._choose_running()
+        if machine is None or not machine.recovered:
             return False
-        host.refusing_writes = True
-        self._later(lambda: self._restart_refusing(host))
+        machine.disk.refusing = True
+        self._later(lambda: self._take_writes_again(machine))
         return True
 
-    def _restart_refusing(self, host: AcceptorHost) -> None:
-        if host.up and host.refusing_writes:
-            host.crash()
-            host.start()
+    def _take_writes_again(self, machine: RegisterMachine) -> None:
+        machine.disk.refusing = False
+        if machine.up and self._rng.random() < RESTARTED_SHARE:
+            machine.crash()
+            machine.start()
 
     def _inject_client_crash(self) -> bool:
-        self._rng.choice(self.clients).restart()
+        self._rng.choice(self.clients).start()
         return True
 
     def _inject_member_change(self) -> bool:
@@ -241,17 +239,21 @@
         if self._changer is None:
             return False
         known = self._around.newest_set()
-        unrecovered = [h.name for h in self.acceptors if h.name in known.members and not h.disk.incarnation]
         spares = [host.name for host in self.acceptors if host.up and host.name not in known.members]
-        if not spares or len(set(unrecovered) - {known.joining}) >= (len(known.members) - 1) // 2:
+        if not spares:
             return False
         proposed = self._draw_change(known, self._rng.choice(spares))
-        return proposed is not None and self._changer.begin(known, proposed)
+        proposing = self._rng.choice([machine for machine in self.acceptors if machine.up])
+        return proposed is not None and self._changer.begin(proposing, known, proposed)
 
     def _draw_change(self, known: MembersValue, spare: str) -> MembersValue | None:
+        """A machine beside all, where so many may be lost already; or in another's place, where that one may be too."""
+        unrecovered = set(self._unrecovered(known))
         try:
             if self._rng.random() < ADDED_SHARE and len(known.members) < self.scenario.acceptors + 2:
-                return added(known, spare)
+                return added(known, spare) if len(unrecovered) <= self._bearable(known) else None
+            if len(unrecovered - {known.joining}) >= self._bearable(known):
+                return None
             return replaced(known, known.joining or self._rng.choice(known.members), spare)
         except MemberSetError:
             return None
@@ -260,43 +262,24 @@
         """End all faults; those that were to end by themselves find nothing left to do."""
         self.network.faults = FAULTLESS
         for client in self.clients:
-            client.stop()
+            client.crash()
         if self._changer is not None:
             self._changer.stop()
         longest = max(self.scenario.longest_fault_ns, self.scenario.longest_outage_ns)
-        self.queue.run_until(self.queue.now + 2 * longest)
-
-    def _read_last(self, key: str) -> None:
-        deadline = self.queue.now + LAST_READ_LIMIT_NS
-        proposer = Proposer(
-            ProposerIdentity(f"{READER}-{key}"),
-            key,
-            self._around.newest_set(),
-            read_only,
-            self._rng,
-            deadline,
-        )
-        self.network.attach(READER, lambda _, message: self._perform_read(self._answered(proposer, message)))
-        self._perform_read(proposer.start(self.queue.now))
-        while proposer.result is None and self.queue.now < deadline:
-            self.queue.run_until(self.queue.now + 100 * MILLISECOND)
-            self._perform_read(proposer.on_timer(self.queue.now))
-        if isinstance(proposer.result, Committed):
-            self.referee.histories[key].last_read(proposer.result.value)
-        else:
-            self.referee.violations.append(f"{key}: could not be read after all faults")
-
-    def _answered(self, proposer: Proposer, message: object) -> list[Effect]:
-        if isinstance(message, MembersValue):
-            return proposer.use(message, self.queue.now)
-        if message.members < proposer.member_sequence:
-            self.network.send(READER, message.acceptor, self._around.newest_set())
-        return proposer.handle(message, self.queue.now)
-
-    def _perform_read(self, effects: list[Effect]) -> None:
-        for effect in effects:
-            if isinstance(effect, SendTo):
-                self.network.send(READER, effect.member, effect.message)
+        self.world.run_until(self.world.now + 2 * longest)
+
+    def _read_last(self) -> None:
+        reader = Client(READER, self._around, lanes=0)
+        results: dict[str, ProposerResult] = {}
+        for key in self.scenario.keys:
+            reader.read(key, LAST_READ_LIMIT_NS, lambda result, key=key: results.update({key: result}))
+        self.world.run_until(self.world.now + LAST_READ_LIMIT_NS)
+        for key in self.scenario.keys:
+            result = results.get(key)
+            if isinstance(result, Committed):
+                self.referee.histories[key].last_read(result.value)
+            else:
+                self.referee.violations.append(f"{key}: could not be read after all faults")
 
 
 def with_member_changes(scenario: Scenario, spares: int) -> Scenario:
--- a/iristrack/simulation/virtual_machines.py
+++ b/iristrack/simulation/virtual_machines.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import SimpleNamespace
@@ -29,6 +30,25 @@
 Closed = Callable[["VirtualConnection"], None]
 
 
+class SilentLog:
+    """Takes the programs' log lines, for a failing run, and counts their events."""
+
+    def __init__(self, world: World, name: str, lines: list[str], events: Counter[str] | None = None) -> None:
+        """`lines` and `events` are shared by all processes."""
+        self.world = world
+        self.name = name
+        self.lines = lines
+        self.events = Counter() if events is None else events
+
+    def info(self, event: str, **fields: object) -> None:
+        """Keep a line."""
+        self.events[event] += 1
+        text = " ".join(f"{key}={value}" for key, value in fields.items())
+        self.lines.append(f"{self.world.now / 1e9:.3f} {self.name} {event} {text}")
+
+    warning = error = exception = info
+
+
 class VirtualConnection:
     """One end of a connection; stands in for `PeerConnection`."""
 
@@ -40,6 +60,7 @@
         self.on_close = on_close
         self.closed = False
         self.heard_at = scheduler.now()
+        self.has_spoken = False
         self.on_drained: Callable[[VirtualConnection], None] | None = None
         self.queued = 0
         self.other: VirtualConnection | None = None
@@ -75,6 +96,7 @@
         """Take a message from the other end."""
         if not self.closed:
             self.heard_at = self.scheduler.now()
+            self.has_spoken = True
             self.on_message(self, message)
 
 
@@ -192,6 +214,11 @@
             else:
                 self.cells[record.key] = record
 
+    def keep_some(self, records: list[Record], rng: random.Random) -> None:
+        """Have the first few of records on the disk that were not synced when the process ended."""
+        if not self.refusing:
+            self.keep(records[: rng.randint(0, len(records))])
+
     def wipe(self) -> None:
         """Lose everything."""
         self.identity = None
--- a/iristrack/standin/machine.py
+++ b/iristrack/standin/machine.py
@@ -32,6 +32,9 @@
         self.machine_class = machine_class
         self.settings = settings
         self.folder = folder
+        self.module = PROGRAMS[machine_class]
+        self.arguments: list[str] = []
+        self.environment: dict[str, str] = {}  # beside the one of this process
         self.process: subprocess.Popen[bytes] | None = None
         folder.mkdir(parents=True, exist_ok=True)
         self.settings_path = folder / "settings.json"
@@ -92,9 +95,9 @@
         assert not self.running, f"{self.name} runs already"
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", PROGRAMS[self.machine_class]],
+                [sys.executable, "-m", self.module, *self.arguments],
                 cwd=ROOT,
-                env=os.environ | {SETTINGS_VARIABLE: str(self.settings_path)},
+                env=os.environ | self.environment | {SETTINGS_VARIABLE: str(self.settings_path)},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/iristrack/store/cells.py
+++ b/iristrack/store/cells.py
@@ -190,13 +190,14 @@
     def append(self, records: Sequence[Record]) -> None:
         """Have records on the disk; of several for one slot the last counts.
 
+        A loss of power meanwhile keeps the first few of these, in the order in which the slots were last given.
         Raises `OSError`, after which they may be on the disk or not, and `StoreFull`; `TooLarge`, `MissingIdentity` and
         `ForeignFolder`, before anything is written.
         """
         if not records:
             return
         self._check_identity(records)
-        changes = {slot_of(record): encode_record(record) for record in records}
+        changes = _last_of_each_slot(records)
         live_bytes = self.live_bytes + self._growth(changes)
         if live_bytes > MOST_LIVE_BYTES:
             raise StoreFull(errno.ENOSPC, f"{live_bytes} bytes of live records, {MOST_LIVE_BYTES} at most")
@@ -294,3 +295,13 @@
 
     def _path(self, name: str) -> str:
         return f"{self.folder}/{name}"
+
+
+def _last_of_each_slot(records: Sequence[Record]) -> dict[Slot, bytes]:
+    """The framed records by their slots, in the order of the last record of each."""
+    changes: dict[Slot, bytes] = {}
+    for record in records:
+        slot = slot_of(record)
+        changes.pop(slot, None)
+        changes[slot] = encode_record(record)
+    return changes
--- a/iristrack/wire/connection.py
+++ b/iristrack/wire/connection.py
@@ -35,7 +35,8 @@
         self.on_message = on_message
         self.on_close = on_close
         self.closed = False
-        self.heard_at = clock()  # ns, when the peer last said anything
+        self.heard_at = clock()  # ns, when the peer last said anything, or the connection was opened
+        self.has_spoken = False  # a frozen process's machine takes connections too
         self.on_drained: Callable[[PeerConnection], None] | None = None  # called when all has been written
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -94,6 +95,7 @@
                 if not data:
                     break
                 self.heard_at = clock()
+                self.has_spoken = True
                 self.received_bytes += len(data)
                 for message in self._reader.feed(data):
                     self.on_message(self, message)
--- a/iristrack/wire/dialing.py
+++ b/iristrack/wire/dialing.py
@@ -76,12 +76,15 @@
 
     @property
     def connected(self) -> bool:
-        """Is there a connection on which the peer has spoken lately?"""
+        """Is there a connection? A frozen process's machine takes one too, which ends once it has been silent."""
         return self.connection is not None
 
     def heard_within(self, ns: int) -> bool:
         """Has the peer answered on this connection so lately?"""
-        return self.connection is not None and self.scheduler.now() - self.connection.heard_at <= ns
+        connection = self.connection
+        if connection is None or not connection.has_spoken:
+            return False
+        return self.scheduler.now() - connection.heard_at <= ns
 
     def send(self, message: Message) -> bool:
         """Send over the present connection; false where there is none."""
--- a/tests/controlplane/test_peer_connections.py
+++ b/tests/controlplane/test_peer_connections.py
@@ -10,7 +10,8 @@
 from iristrack.runtime.scheduler import Scheduler, clock
 from iristrack.wire.codec import encode
 from iristrack.wire.connection import MOST_QUEUED_BYTES, PeerConnection
-from iristrack.wire.messages import Heartbeat, Message, Update
+from iristrack.wire.dialing import DialerSet
+from iristrack.wire.messages import Heartbeat, Hello, Message, Update
 
 BEAT = Heartbeat("n", "p", 1)
 PATIENCE_NS = 10**10
@@ -126,3 +127,27 @@
     loop.turns(5)
     assert pairs["gone"].ends == [pairs["gone"].connection]
     assert not pairs["speaker"].connection.closed
+
+
+def test_a_peer_that_takes_connections_and_says_nothing_has_not_been_heard() -> None:
+    """The machine of a frozen process goes on taking connections: each new one must not count as an answer."""
+    loop = Loop()
+    silent = socket.create_server(("127.0.0.1", 0))
+    address = "{}:{}".format(*silent.getsockname())
+    dialers = DialerSet(
+        loop.scheduler,
+        lambda: Hello("n", "controlplane", "p", "z", "r", address),
+        lambda: BEAT,
+        lambda connection: None,
+        lambda connection, message: None,
+    )
+    dialers.follow([address])
+    loop.turn_until(lambda: dialers.connected() == 1)
+    assert dialers.heard_within(PATIENCE_NS) == []
+    peer, _ = silent.accept()
+    peer.sendall(encode(BEAT))
+    loop.turn_until(lambda: dialers.heard_within(PATIENCE_NS) == [address])
+    dialers.follow([])
+    loop.turns(5)
+    peer.close()
+    silent.close()
--- /dev/null
+++ b/tests/controlplane/test_register_host.py
@@ -0,0 +1,158 @@
+"""The register host on a disk that refuses records, or loses power, while the member set changes."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from iristrack.controlplane.register_host import MEMBERS_BLOB, RegisterHost
+from iristrack.register import Cell
+from iristrack.relay import topics
+from iristrack.simulation.virtual_machines import SilentLog, VirtualDisk, VirtualSync
+from iristrack.simulation.virtual_time import VirtualScheduler, World
+from iristrack.store.cells import CellRecord, IdentityRecord
+from iristrack.wire.messages import FOUNDED, Ballot, MembersValue, Prepare
+from iristrack.wire.values import encode_value
+
+NS_PER_S = 1_000_000_000
+OWN = "a"
+FOUNDING_SET = MembersValue(FOUNDED, ("a", "b", "c"))
+NEXT_SET = MembersValue(FOUNDED + 1, ("a", "b", "d"), "d", "c")
+SETTLED_SET = MembersValue(FOUNDED + 2, ("a", "b", "d"))
+ACCEPTED = Ballot(3, "p")
+KEYS = (topics.CONFIGURATION, topics.MEMBER_SET)
+
+
+class Machine:
+    """One machine; `sent` holds what its host sent to other members."""
+
+    def __init__(self, disk: VirtualDisk) -> None:
+        self.world = World()
+        self.disk = disk
+        self.sent: list[tuple[str, object]] = []
+        self.lines: list[str] = []
+        self.told: list[int] = []  # the sequences whose sets it has said to go by
+        self.start()
+
+    def start(self) -> None:
+        self.scheduler = VirtualScheduler(self.world)
+        self.sync = VirtualSync(self.scheduler, self.disk)
+        self.host = RegisterHost(
+            self.scheduler,
+            OWN,
+            self.disk.opened(OWN),
+            self.sync,
+            lambda member, message: self.sent.append((member, message)),
+            KEYS,
+            SilentLog(self.world, OWN, self.lines),
+            random.Random(1),
+        )
+
+    def follow(self, members: MembersValue) -> None:
+        self.host.follow(members, False, lambda: self.told.append(members.sequence))
+
+    def pass_time(self, seconds: float) -> None:
+        self.world.run_until(self.world.now + int(seconds * NS_PER_S))
+        assert self.world.failures == []
+
+
+def member_disk() -> VirtualDisk:
+    disk = VirtualDisk()
+    cells = [CellRecord(key, ACCEPTED, ACCEPTED, key.encode()) for key in KEYS]
+    disk.keep([IdentityRecord("first", OWN), *cells])
+    disk.blobs[MEMBERS_BLOB] = encode_value(FOUNDING_SET)
+    return disk
+
+
+def prepare(members: MembersValue) -> Prepare:
+    return Prepare(1, topics.CONFIGURATION, Ballot(4, "q"), members.sequence)
+
+
+@pytest.mark.parametrize("sets", [[NEXT_SET], [NEXT_SET, SETTLED_SET], [NEXT_SET, NEXT_SET]])
+def test_a_set_that_changes_while_the_disk_refuses_costs_no_copy(sets: list[MembersValue]) -> None:
+    machine = Machine(member_disk())
+    machine.disk.refusing = True
+    machine.host.handle(prepare(FOUNDING_SET), lambda answer: None)
+    machine.pass_time(0.1)
+    assert not machine.host.voting
+    for members in sets:
+        machine.follow(members)
+        machine.pass_time(1)
+    assert machine.sent == []  # it asks nobody for what it has itself
+    assert not machine.host.voting
+    machine.disk.refusing = False
+    machine.pass_time(2)
+    assert machine.host.voting
+    assert machine.host.incarnation == "first"
+    assert machine.host.member_set == sets[-1]
+    assert machine.host.acceptor.cell(topics.CONFIGURATION) == Cell(ACCEPTED, ACCEPTED, b"configuration")
+    assert machine.told == [sets[-1].sequence]
+    answers = []
+    machine.host.handle(prepare(sets[-1]), answers.append)
+    machine.pass_time(0.1)
+    assert [answer.granted for answer in answers] == [True]
+    machine.start()
+    assert machine.host.member_set == sets[-1]
+
+
+def test_a_set_whose_record_the_disk_refuses_is_told_once_it_is_written() -> None:
+    machine = Machine(member_disk())
+    machine.disk.refusing = True
+    machine.follow(NEXT_SET)
+    machine.follow(SETTLED_SET)
+    machine.pass_time(2)
+    assert machine.told == []
+    machine.disk.refusing = False
+    machine.pass_time(2)
+    assert (machine.told, machine.host.voting) == ([SETTLED_SET.sequence], True)
+    assert machine.host.member_set == SETTLED_SET
+
+
+def test_one_that_joined_and_is_told_so_again_keeps_what_its_refusing_disk_holds() -> None:
+    joining = MembersValue(FOUNDED + 1, ("a", "b", "c"), OWN, "z")
+    disk = member_disk()
+    disk.blobs[MEMBERS_BLOB] = encode_value(joining)
+    machine = Machine(disk)
+    disk.refusing = True
+    machine.host.handle(prepare(joining), lambda answer: None)
+    machine.pass_time(0.1)
+    machine.follow(joining)
+    disk.refusing = False
+    machine.pass_time(2)
+    assert machine.host.voting
+    assert machine.host.incarnation == "first"
+    assert machine.sent == []
+
+
+def test_one_that_is_replaced_while_its_disk_refuses_does_not_vote_again() -> None:
+    machine = Machine(member_disk())
+    machine.disk.refusing = True
+    machine.host.handle(prepare(FOUNDING_SET), lambda answer: None)
+    machine.pass_time(0.1)
+    machine.follow(MembersValue(FOUNDED + 1, ("b", "c", "d"), "d", OWN))
+    machine.disk.refusing = False
+    machine.pass_time(5)
+    assert not machine.host.voting
+    assert machine.host.acceptor is None
+
+
+def test_a_loss_of_power_while_what_was_recovered_is_written_leaves_no_vote_without_it() -> None:
+    """The disk is that of a member which had been replaced and is let in again: its cells are old ones."""
+    recovered = (CellRecord(topics.CONFIGURATION, Ballot(9, "r"), Ballot(9, "r"), b"newer"),)
+    written = 0
+    while True:
+        disk = member_disk()
+        disk.keep([IdentityRecord("", OWN)])
+        machine = Machine(disk)
+        machine.host._begin(SETTLED_SET, "second", recovered, lambda: None)
+        records = machine.sync.unsynced()
+        disk.keep(records[:written])
+        machine.start()
+        if machine.host.voting:
+            assert machine.host.acceptor.cell(topics.CONFIGURATION).value == b"newer"
+            assert machine.host.member_set == SETTLED_SET
+        written += 1
+        if written > len(records):
+            break
+    assert machine.host.voting
--- a/tests/register/test_acceptor.py
+++ b/tests/register/test_acceptor.py
@@ -53,6 +53,18 @@
     assert not core.handle_accept(accept(MIDDLE)).reply.granted
 
 
+def test_one_that_is_replaced_lets_one_process_read_and_accepts_nothing() -> None:
+    core = acceptor({KEY: Cell(LOW, LOW, b"old")})
+    core.serve_successor(2)
+    first, second = Ballot(5, "d/1"), Ballot(9, "d/2")
+    assert core.handle_prepare(Prepare(1, RECOVERY_KEY, first, 2)).reply.granted
+    assert not core.handle_prepare(Prepare(1, RECOVERY_KEY, second, 2)).reply.granted
+    assert not core.handle_prepare(Prepare(2, KEY, second, 2)).reply.granted
+    read = core.handle_prepare(Prepare(2, KEY, Ballot(6, "d/1"), 2)).reply
+    assert (read.granted, read.value) == (True, b"old")
+    assert not core.handle_accept(Accept(3, KEY, Ballot(6, "d/1"), "", b"v", 2)).reply.granted
+
+
 def test_an_accept_is_recorded_with_its_ballot_as_promise() -> None:
     outcome = acceptor({KEY: Cell(LOW)}).handle_accept(accept(MIDDLE, "disk1", b"new"))
     assert outcome.record == CellRecord(KEY, MIDDLE, MIDDLE, b"new")
--- a/tests/register/test_member_set.py
+++ b/tests/register/test_member_set.py
@@ -6,6 +6,8 @@
 
 from iristrack.register import (
     Acceptor,
+    Cell,
+    Committed,
     Finished,
     MemberSetError,
     Proposer,
@@ -24,6 +26,7 @@
 from iristrack.wire.messages import FOUNDED, NO_BALLOT, Accept, Ballot, MembersValue, Prepare, Promise
 from iristrack.wire.values import decode_value, encode_value
 
+KEY = "config"
 FIRST = MembersValue(FOUNDED, ("a", "b", "c"))
 
 
@@ -124,6 +127,75 @@
     assert len(finished) == 1
 
 
+class Round:
+    """Members of one set that answer at once; the one that is replaced is among them."""
+
+    def __init__(self, members: MembersValue) -> None:
+        self.members = members
+        held = {KEY: Cell(Ballot(1, "p"), Ballot(1, "p"), b"old")}
+        names = (*members.members, members.leaving)
+        self.acceptors = {
+            name: Acceptor(name, f"{name}-disk", held, True, keys=(KEY,), member_sequence=members.sequence)
+            for name in names
+        }
+        self.acceptors[members.leaving].serve_successor(members.sequence)
+        del self.acceptors[members.joining]
+
+    def carry(self, decider: Recovery | Proposer, reached: set[str]):
+        """Have each message to those that are reached answered; the result, None where it waits for others."""
+        waiting = list(decider.start(0))
+        while waiting:
+            effect = waiting.pop(0)
+            if isinstance(effect, Finished):
+                return effect.result
+            if isinstance(effect, SendTo) and effect.member in reached & self.acceptors.keys():
+                core = self.acceptors[effect.member]
+                is_prepare = isinstance(effect.message, Prepare)
+                handle = core.handle_prepare if is_prepare else core.handle_accept
+                waiting.extend(decider.handle(handle(effect.message).reply, 1))
+        return None
+
+    def recover(self, process: str, reached: set[str]) -> bool:
+        """Have the newcomer recover by what it reaches, and vote; false where that is not enough."""
+        name = self.members.joining
+        identity = ProposerIdentity(f"{name}/{process}")
+        recovery = Recovery(name, identity, self.members, (KEY,), random.Random(1))
+        recovered = self.carry(recovery, reached)
+        if recovered is None:
+            return False
+        cells = {r.key: Cell(r.promised, r.accepted, r.value) for r in recovered.records}
+        sequence = self.members.sequence
+        self.acceptors[name] = Acceptor(name, process, cells, True, keys=(KEY,), member_sequence=sequence)
+        return True
+
+    def change(self, wanted: bytes, reached: set[str]) -> object:
+        identity = ProposerIdentity(f"p-{wanted.decode()}")
+        identity.saw(KEY, Ballot(20, "p"))  # above all that was promised
+        identity.incarnations.update({name: core.incarnation for name, core in self.acceptors.items()})
+        return self.carry(
+            Proposer(identity, KEY, self.members, lambda value: wanted, random.Random(1), 10**12), reached
+        )
+
+
+def test_a_newcomer_that_lost_the_disk_it_voted_on_does_not_read_from_the_one_it_replaced() -> None:
+    group = Round(replaced(FIRST, "a", "d"))
+    assert group.recover("first", {"a", "c"})
+    assert isinstance(group.change(b"new", {"b", "d"}), Committed)
+    del group.acceptors["d"]
+    assert not group.recover("second", {"a", "c"})
+    assert group.recover("third", {"a", "b", "c"})
+    assert group.acceptors["d"].cell(KEY).value == b"new"
+
+
+def test_a_newcomer_that_voted_without_the_one_it_replaced_does_not_read_from_it_later() -> None:
+    """The first process recovers while its way to the leaving member is cut, so that this one knows nothing of it."""
+    group = Round(replaced(FIRST, "a", "d"))
+    assert group.recover("first", {"b", "c"})
+    assert isinstance(group.change(b"new", {"b", "d"}), Committed)
+    del group.acceptors["d"]
+    assert not group.recover("second", {"a", "c"})
+
+
 def test_sets_change_and_settle_in_the_simulation() -> None:
     figures = run_seed(with_member_changes(Scenario(), 3), 0).figures
     assert figures["sets_changed"] > 0
--- a/tests/register/test_recovery.py
+++ b/tests/register/test_recovery.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import itertools
 import random
 
 import pytest
@@ -22,6 +23,8 @@
     SetTimer,
     Unchanged,
 )
+from iristrack.register.member_set import added, quorum_of
+from iristrack.register.recovery import recovery_quorum
 from iristrack.wire.messages import FOUNDED, NO_BALLOT, Accept, Ballot, MembersValue, Prepare
 
 from .test_proposer import CompareAndSet, read
@@ -178,11 +181,22 @@
     assert all(base <= wait <= 2 * base for base, wait in zip((100, 200, 400, 400, 400), waits, strict=True))
 
 
-def test_two_members_are_too_few_to_recover() -> None:
+def test_one_member_alone_is_too_few_to_recover() -> None:
     with pytest.raises(ValueError):
-        Recovery(
-            LOST, ProposerIdentity("n"), MembersValue(FOUNDED, ("core0", "core1")), KEYS, random.Random(1)
-        )
+        Recovery(LOST, ProposerIdentity("n"), MembersValue(FOUNDED, ("core0",)), KEYS, random.Random(1))
+
+
+def test_of_two_members_one_recovers_what_both_decided_from_the_other_and_from_nobody_else() -> None:
+    chosen = Cell(OLD, OLD, b"chosen")
+    pair = ("core0", "core1")
+    group = Group(pair, {name: {"config": chosen} for name in pair})
+    group.lose_disk()
+    recovery = group.recovery()
+    begun = recovery.start(0)
+    unanswered = group.pump(recovery, begun, silent=("core1",))
+    assert not any(isinstance(effect, Finished) for effect in unanswered)
+    records = records_of(group.pump(recovery, recovery.on_timer(timer_of(begun))))
+    assert {record.key: record.value for record in records}["config"] == b"chosen"
 
 
 def test_an_accept_from_before_the_loss_is_refused_after_it() -> None:
@@ -265,3 +279,45 @@
 def test_without_the_check_of_incarnations_the_forgotten_promise_does_harm() -> None:
     _, last_read = play_forgotten_promise(TrustsEveryPromise)
     assert last_read == b"slow"
+
+
+# ---- how many others are needed
+
+
+@pytest.mark.parametrize(
+    ("size", "plain", "beside_all", "in_place"),
+    [(2, 1, 1, 1), (3, 2, 2, 2), (4, 2, 2, 3), (5, 3, 3, 3), (6, 3, 3, 4)],
+)
+def test_half_of_the_members_or_more_are_needed(
+    size: int, plain: int, beside_all: int, in_place: int
+) -> None:
+    names = tuple(f"core{number}" for number in range(size))
+    newcomer = names[-1]
+    assert recovery_quorum(MembersValue(3, names), newcomer) == plain
+    assert recovery_quorum(MembersValue(3, names, newcomer), newcomer) == beside_all
+    assert recovery_quorum(MembersValue(3, names, newcomer, "gone"), newcomer) == in_place
+    assert recovery_quorum(MembersValue(3, names, newcomer, "gone"), names[0]) == plain
+
+
+@pytest.mark.parametrize("old_size", [2, 3, 4, 5, 6, 7])
+def test_who_joins_beside_all_and_as_many_lost_ones_as_are_borne_recover(old_size: int) -> None:
+    names = tuple(f"core{number}" for number in range(old_size))
+    members = added(MembersValue(FOUNDED, names), "new")
+    lost = names[: (old_size - 1) // 2]
+    voting = set(names) - set(lost)
+    waiting = {"new", *lost}
+    while waiting:
+        able = {name for name in waiting if len(voting) >= recovery_quorum(members, name)}
+        assert able, f"{sorted(waiting)} wait for each other"
+        voting |= able
+        waiting -= able
+
+
+@pytest.mark.parametrize("size", [2, 3, 4, 5, 6, 7])
+def test_each_quorum_without_the_lost_member_meets_all_that_it_may_recover_from(size: int) -> None:
+    names = tuple(f"core{number}" for number in range(size))
+    members = MembersValue(FOUNDED, names)
+    others = names[1:]
+    for quorum in itertools.combinations(others, quorum_of(members) - 1):
+        for granting in itertools.combinations(others, recovery_quorum(members, names[0])):
+            assert set(quorum) & set(granting)
--- a/tests/register/test_swarm.py
+++ b/tests/register/test_swarm.py
@@ -4,11 +4,13 @@
 
 import pytest
 
-from iristrack.register import Proposer, Recovery
+from iristrack.controlplane import register_host
+from iristrack.controlplane.register_host import RegisterHost
 from iristrack.simulation.register import Scenario, first_violation, main, run_seed, with_member_changes
-from iristrack.simulation.register_events import MILLISECOND, NetworkFaults
-from iristrack.simulation.register_nodes import Planted
+from iristrack.simulation.register_machines import RegisterMachine
+from iristrack.simulation.register_network import MILLISECOND, NetworkFaults
 from iristrack.simulation.register_referee import Referee
+from tests.simulation import planted_faults
 
 STALLS_AND_WIPES = Scenario(
     keys=("config",),
@@ -55,23 +57,6 @@
     assert run_seed(Scenario(), 5) == run_seed(Scenario(), 5)
 
 
-class ShortQuorum(Proposer):
-    def __init__(self, *arguments, **options) -> None:
-        super().__init__(*arguments, **options)
-        self.quorum -= 1
-
-
-class ShortRecovery(Recovery):
-    def __init__(self, *arguments, **options) -> None:
-        super().__init__(*arguments, **options)
-        self.quorum -= 1
-
-
-class TrustsEveryPromise(Proposer):
-    def _is_known(self, promise) -> bool:
-        return True
-
-
 MEMBER_CHANGES = with_member_changes(Scenario(), 3)
 NO_WIPES = replace(
     MEMBER_CHANGES,
@@ -79,29 +64,41 @@
 )
 
 
-@pytest.mark.parametrize(
-    ("scenario", "planted"),
-    [
-        (MEMBER_CHANGES, Planted(any_member_set=True)),
-        (NO_WIPES, Planted(vote_without_recovery=True)),
-        (Scenario(), Planted(proposer=ShortQuorum)),
-        (Scenario(), Planted(reply_before_sync=True)),
-        (Scenario(), Planted(vote_without_recovery=True)),
-        (Scenario(), Planted(recovery=ShortRecovery)),
-        (STALLS_AND_WIPES, Planted(proposer=TrustsEveryPromise)),
-    ],
-    ids=[
-        "any_member_set",
-        "joins_unrecovered",
-        "short_quorum",
-        "reply_before_sync",
-        "amnesiac",
-        "short_recovery",
-        "unchecked_incarnation",
-    ],
-)
-def test_a_planted_fault_is_found(scenario: Scenario, planted: Planted) -> None:
-    assert first_violation(replace(scenario, planted=planted), range(100)) is not None
+CHANGES_ALONE = replace(MEMBER_CHANGES, fault_weights=(("member_change", 8), ("client_crash", 4)))
+NOBODY_IS_TOLD = [(RegisterMachine, "publish", planted_faults.publish_to_nobody)]
+ANY_MEMBER_SET = [
+    *NOBODY_IS_TOLD,
+    (register_host, "Acceptor", planted_faults.AnySetAcceptor),
+    (RegisterHost, "handle", planted_faults.handle_any_set),
+]
+UNRECOVERED = [(RegisterHost, "_recover", planted_faults.vote_without_recovery)]
+REPLY_BEFORE_RECORD = [(RegisterHost, "_vote", planted_faults.reply_before_record)]
+PLANTED = {
+    "any_member_set": (CHANGES_ALONE, ANY_MEMBER_SET),
+    "joins_unrecovered": (NO_WIPES, UNRECOVERED),
+    "short_quorum": (Scenario(), [(register_host, "Proposer", planted_faults.ShortQuorumProposer)]),
+    "reply_before_sync": (Scenario(), REPLY_BEFORE_RECORD),
+    "amnesiac": (Scenario(), UNRECOVERED),
+    "short_recovery": (Scenario(), [(register_host, "Recovery", planted_faults.ShortQuorumRecovery)]),
+    "unchecked_incarnation": (
+        STALLS_AND_WIPES,
+        [(register_host, "Proposer", planted_faults.TrustingProposer)],
+    ),
+}
+
+
+@pytest.mark.parametrize("fault", sorted(PLANTED))
+def test_a_planted_fault_is_found(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    scenario, replaced = PLANTED[fault]
+    for owner, attribute, planted in replaced:
+        monkeypatch.setattr(owner, attribute, planted)
+    assert first_violation(scenario, range(100)) is not None
+
+
+def test_messages_alone_keep_to_one_member_set(monkeypatch: pytest.MonkeyPatch) -> None:
+    for owner, attribute, planted in NOBODY_IS_TOLD:
+        monkeypatch.setattr(owner, attribute, planted)
+    assert first_violation(CHANGES_ALONE, range(30)) is None
 
 
 def test_the_referee_knows_a_fork_a_loss_a_step_back_and_a_refused_value() -> None:
--- a/tests/simulation/test_control.py
+++ b/tests/simulation/test_control.py
@@ -6,13 +6,14 @@
 
 import pytest
 
-from iristrack.controlplane import changes, operator_api
+from iristrack.controlplane import changes, operator_api, register_host
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.dataplane.core_view import CoreView
 from iristrack.register import Refuse, Unchanged
 from iristrack.relay.catch_up import CatchUp
 from iristrack.simulation.control import SCENARIOS, Scenario, first_violation, main, run_seed
 from iristrack.simulation.control_referee import Order, Referee
+from tests.simulation import planted_faults
 
 SEEDS = range(2)
 PLANTED_SEEDS = range(20)
@@ -84,25 +85,10 @@
 REPLACE = changes.replace_configuration
 
 
-def vote_empty(self, on_done):
-    """A member whose disk was lost votes without having read anything from the others."""
-    self._begin(self.member_set, self._draw_incarnation(), (), on_done)
-
-
-def stay_silent(self, stopped, on_done):
+def stay_silent(self, stopped):
     """A disk that refused a record once is never tried again."""
 
 
-def reply_first(self, decide, reply):
-    """Replies do not wait for their records."""
-    acceptor = self.acceptor
-    if acceptor is None or not acceptor.voting:
-        return
-    outcome = decide(acceptor)
-    reply(outcome.reply)
-    self.sync.submit([] if outcome.record is None else [outcome.record], lambda ok: None)
-
-
 RESTARTED_BESIDE_THE_MINORITY = replace(
     SCENARIOS["cut_off_three"], faults=(("cut", 1),), cut_hows=("edges",), duration_ns=SHORT_NS
 )
@@ -112,6 +98,7 @@
 POWER_LOST_AMONG_SLOW_SYNCS = Scenario(
     (("herd_kill", 1),), fault_pause_ns=1_500_000_000, operator_pause_ns=50_000_000, sync_ns=60_000_000
 )
+PLANNED_REPLACEMENTS = Scenario((("replace_planned", 1),), fault_pause_ns=1_500_000_000)
 PLANTED = {
     "1 nobody asks for what the hub does not push": (
         SCENARIOS["cut_off"],
@@ -131,11 +118,19 @@
     ),
     "3 a member votes before it recovered": (
         LOSSES_ONE_AFTER_THE_OTHER,
-        [(RegisterHost, "_recover", vote_empty)],
+        [(RegisterHost, "_recover", planted_faults.vote_without_recovery)],
+    ),
+    "3 a newcomer does not read from the member that leaves": (
+        PLANNED_REPLACEMENTS,
+        [(register_host, "Recovery", planted_faults.LeaverlessRecovery)],
+    ),
+    "3 one that joins beside all and a lost one wait for each other": (
+        SCENARIOS["late_machines"],
+        [(register_host, "Recovery", planted_faults.WholeQuorumRecovery)],
     ),
     "4 a reply goes out before its record": (
         POWER_LOST_AMONG_SLOW_SYNCS,
-        [(RegisterHost, "_vote", reply_first)],
+        [(RegisterHost, "_vote", planted_faults.reply_before_record)],
     ),
     "4 a disk that refused once is never tried again": (
         SCENARIOS["bad_disks"],
@@ -154,8 +149,18 @@
 
 @pytest.mark.parametrize(
     "scenario",
-    [RESTARTED_BESIDE_THE_MINORITY, LOSSES_ONE_AFTER_THE_OTHER, POWER_LOST_AMONG_SLOW_SYNCS],
-    ids=["restarted_beside_the_minority", "losses_one_after_the_other", "power_lost_among_slow_syncs"],
+    [
+        RESTARTED_BESIDE_THE_MINORITY,
+        LOSSES_ONE_AFTER_THE_OTHER,
+        POWER_LOST_AMONG_SLOW_SYNCS,
+        PLANNED_REPLACEMENTS,
+    ],
+    ids=[
+        "restarted_beside_the_minority",
+        "losses_one_after_the_other",
+        "power_lost_among_slow_syncs",
+        "planned_replacements",
+    ],
 )
 def test_where_faults_are_planted_the_program_itself_violates_nothing(scenario: Scenario) -> None:
     assert first_violation(scenario, SEEDS) is None
--- a/tests/state/test_cells.py
+++ b/tests/state/test_cells.py
@@ -87,6 +87,20 @@
     assert opened.blobs == {"members": b"two", "k": b"no cell"}
 
 
+def test_records_stand_in_the_order_in_which_they_were_last_given(tmp_path: Path) -> None:
+    """A loss of power keeps a prefix: the identity must not come before what it vouches for."""
+    store = began(tmp_path).store
+    begun = newest(tmp_path).stat().st_size
+    second = IdentityRecord("second", "a")
+    store.append([IdentityRecord("", "a"), cell("k", 1), BlobRecord("members", b"one"), cell("k", 2), second])
+    store.close()
+    data = newest(tmp_path).read_bytes()
+    for length in range(begun, len(data)):
+        contents = cell_format.read_contents(data[:length])
+        assert contents.identity != second or contents.cells == {"k": cell("k", 2)}
+    assert cell_format.read_contents(data).identity == second
+
+
 def test_bounds_are_kept_and_a_refused_record_spoils_nothing(tmp_path: Path) -> None:
     store = began(tmp_path).store
     largest = CellRecord("k", Ballot(2**62, "p" * 4096), Ballot(2**62, "q" * 4096), bytes(8 << 20))
--- a/tests/system/test_core_losses.py
+++ b/tests/system/test_core_losses.py
@@ -324,6 +324,42 @@
     wait_served(system, 3)
 
 
+STEPS = ("told to end", "changed the set", "recovers", "votes", "settled")
+
+
+def step_is_reached(step: str, members: list[Machine], spare: Machine) -> bool:
+    logs = [machine.log() for machine in (*members, spare)]
+    if step == "told to end":
+        return True
+    if step == "changed the set":
+        return any(f"joining={spare.ip}" in log for log in logs)
+    if step == "settled":
+        return 'event="members changed"' in spare.log()
+    return {"recovers": "event=recovering", "votes": VOTING}[step] in spare.log()
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_a_disk_may_be_lost_right_after_each_step_of_a_planned_replacement(system: System, step: str) -> None:
+    leaving, lost, other = system.cores
+    assert system.operator.replace(version(2), 1).status == 200
+    spare = system.new_core()
+    spare.start()
+    for core in (leaving, lost, other):
+        wait_until(lambda core=core: waits_at(core, spare), f"word of the spare at {core.name}")
+    leaving.send_signal(signal.SIGTERM)
+    wait_until(lambda: step_is_reached(step, [leaving, lost, other], spare), step)
+    lost.kill()
+    lost.wipe_disk()
+    wait_until(lambda: not leaving.running, "the end of the member that leaves")
+    wait_until(lambda: VOTING in spare.log(), "the vote of the newcomer")
+    assert newest(system, other) == version(2)
+    assert system.operator.replace(version(3), 2, first=spare.control).status == 200
+    restart([lost])
+    wait_voting(lost, 2)
+    assert newest(system, lost) == version(3)
+    wait_served(system, 3)
+
+
 def test_a_member_that_reaches_no_quorum_says_so_and_asks_no_register(system: System) -> None:
     last, *others = system.cores
     for core in others:
