--- a/iristrack/configuration/building.py
+++ b/iristrack/configuration/building.py
@@ -36,15 +36,20 @@
     return build_configuration(json.loads(body), body)
 
 
+def parse_services(body: bytes) -> tuple[Service, ...]:
+    """Parse the services alone of a configuration that is known to be valid."""
+    return tuple(map(build_service, json.loads(body)["services"]))
+
+
 def build_configuration(document: Document, body: bytes) -> Configuration:
     """Build the model from a checked document and the body from which it was decoded."""
     tenants = document.get("tenants")
     return Configuration(
         revision=document["revision"],
-        routes=tuple(map(_build_route, document["route_table"])),
-        services=tuple(map(_build_service, document["services"])),
+        routes=tuple(map(build_route, document["route_table"])),
+        services=tuple(map(build_service, document["services"])),
         limits=_build_limits(document.get("limits") or {}),
-        tenants=None if tenants is None else tuple(map(_build_tenant, tenants)),
+        tenants=None if tenants is None else tuple(map(build_tenant, tenants)),
         digest=digest_of(body),
     )
 
@@ -54,7 +59,8 @@
     return blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
 
 
-def _build_route(row: Document) -> Route:
+def build_route(row: Document) -> Route:
+    """Build a route from a checked row of `route_table`."""
     priority = row.get("priority")
     max_tries = row.get("max_tries", DEFAULT_MAX_TRIES)
     return Route(
@@ -81,7 +87,8 @@
     return tuple(WeightedTarget(item["target"], item["share"]) for item in weighted)
 
 
-def _build_service(row: Document) -> Service:
+def build_service(row: Document) -> Service:
+    """Build a service from a checked row of `services`."""
     engine = row.get("engine")
     max_conns = row.get("max_conns")
     return Service(
@@ -125,7 +132,8 @@
     )
 
 
-def _build_tenant(row: Document) -> Tenant:
+def build_tenant(row: Document) -> Tenant:
+    """Build a tenant from a checked row of `tenants`."""
     return Tenant(
         label=row["label"],
         api_keys=tuple(row["api_keys"]),
--- a/iristrack/configuration/document.py
+++ b/iristrack/configuration/document.py
@@ -67,7 +67,7 @@
 
     Unknown fields are permitted and ignored.
     """
-    decoded = _decode(body)
+    decoded = decode_object(body)
     if decoded.is_error():
         return Error((decoded.error,))
     document = decoded.ok
@@ -86,7 +86,8 @@
     return (Finding("revision", problem, f"give a revision above {current_revision}"),)
 
 
-def _decode(body: bytes) -> Result[dict[str, Any], Finding]:
+def decode_object(body: bytes) -> Result[dict[str, Any], Finding]:
+    """Decode a body that has to be one JSON object, with numbers of a bounded length and range."""
     try:
         document = json.loads(
             body,
@@ -120,8 +121,8 @@
 
 def _document_findings(document: dict[str, Any]) -> tuple[Finding, ...]:
     outline_faults = schema_findings(_OUTLINE, document)
-    routes, route_faults = _check_rows(document, "route_table", route_findings)
-    tenants, tenant_faults = _check_rows(document, "tenants", tenant_findings)
+    routes, route_faults = check_rows(document, "route_table", route_findings)
+    tenants, tenant_faults = check_rows(document, "tenants", tenant_findings)
     labels = None if _blame_services(outline_faults) else _service_labels(document)
     return (
         *outline_faults,
@@ -133,8 +134,30 @@
     )
 
 
-def _check_rows(
-    document: dict[str, Any], name: str, check: RowCheck
+def cross_findings(document: dict[str, Any]) -> tuple[Finding, ...]:
+    """Return what is wrong between the rows of a document each of whose rows is sound by itself."""
+    routes = _placed_rows(document, "route_table")
+    return (
+        *_repeated_route_findings(routes),
+        *_unknown_service_findings(routes, _service_labels(document)),
+        *_shared_key_findings(_placed_rows(document, "tenants")),
+    )
+
+
+def service_findings(row: object, place: str) -> tuple[Finding, ...]:
+    """Return the faults of one row of the services."""
+    if type(row) is not dict:
+        return (Finding(place, "is not an object", "give an object"),)
+    faults = schema_findings(_SERVICE, row)
+    return tuple(Finding(f"{place}.{fault.place}", fault.problem, fault.remedy) for fault in faults)
+
+
+def _placed_rows(document: dict[str, Any], name: str) -> list[PlacedRow]:
+    return [(f"{name}[{position}]", row) for position, row in enumerate(document.get(name) or ())]
+
+
+def check_rows(
+    document: dict[str, Any], name: str, check: RowCheck, place_of_list: str | None = None
 ) -> tuple[list[PlacedRow], list[Finding]]:
     """Return the sound rows of a list with their places, and the findings on the others."""
     sound: list[PlacedRow] = []
@@ -143,7 +166,7 @@
     if not isinstance(rows, list):
         return sound, findings
     for position, row in enumerate(rows):
-        place = f"{name}[{position}]"
+        place = f"{place_of_list or name}[{position}]"
         faults = check(row, place)
         if faults:
             findings.extend(faults)
--- a/iristrack/configuration/routes.py
+++ b/iristrack/configuration/routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from iristrack.configuration.model import Configuration, Route
@@ -21,6 +22,11 @@
     by_prefix: dict[str, Route]
     longest: int
 
+    @classmethod
+    def of(cls, by_prefix: dict[str, Route]) -> _HostRoutes:
+        """Index the routes of one host; there is at least one."""
+        return cls(by_prefix, max(map(len, by_prefix)))
+
     def match(self, path: str) -> Route | None:
         """Probe the path's prefixes that end with a slash, the longest first."""
         end = path.rfind("/", 0, self.longest) + 1
@@ -42,9 +48,34 @@
         prefixes: defaultdict[str, dict[str, Route]] = defaultdict(dict)
         for route in configuration.routes:
             prefixes[normalise_host(route.hostname)][route.path_prefix] = route
-        self._hosts = {
-            host: _HostRoutes(by_prefix, max(map(len, by_prefix))) for host, by_prefix in prefixes.items()
-        }
+        self._hosts = {host: _HostRoutes.of(by_prefix) for host, by_prefix in prefixes.items()}
+
+    def amended(self, dropped: Iterable[Route], added: Iterable[Route]) -> RouteTable:
+        """Return a table without the dropped routes and with the added ones; this one stays as it is.
+
+        Only the hosts of these routes are indexed anew.
+        """
+        touched: dict[str, dict[str, Route]] = {}
+        for route in dropped:
+            self._prefixes(touched, route).pop(route.path_prefix, None)
+        for route in added:
+            self._prefixes(touched, route)[route.path_prefix] = route
+        table = RouteTable.__new__(RouteTable)
+        table._hosts = dict(self._hosts)
+        for host, by_prefix in touched.items():
+            if by_prefix:
+                table._hosts[host] = _HostRoutes.of(by_prefix)
+            else:
+                table._hosts.pop(host, None)
+        return table
+
+    def _prefixes(self, touched: dict[str, dict[str, Route]], route: Route) -> dict[str, Route]:
+        """Return the copy of a host's prefixes that is being altered, made at its first use."""
+        host = normalise_host(route.hostname)
+        if host not in touched:
+            standing = self._hosts.get(host)
+            touched[host] = {} if standing is None else dict(standing.by_prefix)
+        return touched[host]
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the host whose prefix begins the path and is longest.
--- a/iristrack/controlplane/changes.py
+++ b/iristrack/controlplane/changes.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 from dataclasses import replace
 
+from iristrack.configuration.amendment import Amendment, apply_amendment
+from iristrack.configuration.findings import Finding
 from iristrack.configuration.model import Configuration
 from iristrack.register import Refuse, Unchanged
 from iristrack.wire.messages import (
@@ -21,7 +24,9 @@
 BASE_FORGOTTEN = "what was taken on that version is not remembered"
 NOT_HIGHER = "the revision is not higher than the current one"
 HELD = "the duty is held by another"
+INVALID = "the configuration that would result is invalid"
 
+NO_CONFIGURATION = ConfigurationValue(0, 0, b"")
 Outcome = bytes | Unchanged | Refuse
 Change = Callable[[bytes], Outcome]
 
@@ -41,20 +46,78 @@
     """
 
     def change(value: bytes) -> Outcome:
-        current = decode_value(value, ConfigurationValue) or ConfigurationValue(0, 0, b"")
+        current = decode_value(value, ConfigurationValue) or NO_CONFIGURATION
         taken = TakenRevision(proposed.revision, proposed.digest)
-        if taken in current.taken:
-            return Unchanged()
-        if base != current.revision:
-            return Refuse(BASE_FORGOTTEN if _is_forgotten(base, current) else BASE_DIFFERS)
-        if proposed.revision <= current.revision:
-            return Refuse(NOT_HIGHER)
-        history = (*current.taken, taken)[-MOST_TAKEN:]
-        return encode_value(ConfigurationValue(current.sequence + 1, proposed.revision, body, history))
+        standing = _judge_base(current, taken, base)
+        if standing is not None:
+            return standing
+        return _successor(current, taken, body)
 
     return change
 
 
+class AmendConfiguration:
+    """The change that amends revision `base`, under the same terms as `replace_configuration`.
+
+    Attributes:
+        findings: What is wrong with the configuration that would result, after a refusal with `INVALID`.
+    """
+
+    def __init__(self, amendment: Amendment, body: bytes, base: int, most_body: int) -> None:
+        """`most_body` is the greatest length in bytes that the whole configuration may reach."""
+        self.amendment = amendment
+        self.body = body
+        self.base = base
+        self.most_body = most_body
+        self.findings: tuple[Finding, ...] = ()
+        self._judged: tuple[bytes, Outcome] | None = None  # the value that was judged last, and how
+
+    def __call__(self, value: bytes) -> Outcome:
+        """Judge the present value; the same value is judged once, however many attempts there are."""
+        if self._judged is None or self._judged[0] != value:
+            self._judged = (value, self._judge(value))
+        return self._judged[1]
+
+    def _judge(self, value: bytes) -> Outcome:
+        current = decode_value(value, ConfigurationValue) or NO_CONFIGURATION
+        taken = TakenRevision(self.amendment.revision, self.amendment.digest)
+        standing = _judge_base(current, taken, self.base)
+        if standing is not None:
+            return standing
+        if not current.body:
+            return self._refuse((Finding("X-Iristrack-Base-Version", "is 0", "send the first one whole"),))
+        result = apply_amendment(json.loads(current.body), self.amendment)
+        if result.is_error():
+            return self._refuse(result.error)
+        whole = json.dumps(result.ok, separators=(",", ":")).encode()
+        if len(whole) > self.most_body:
+            problem = f"makes a configuration of {len(whole)} bytes; {self.most_body} at most"
+            return self._refuse((Finding("upsert", problem, "remove items that are not needed"),))
+        return _successor(current, taken, whole, self.body)
+
+    def _refuse(self, findings: tuple[Finding, ...]) -> Refuse:
+        self.findings = findings
+        return Refuse(INVALID)
+
+
+def _judge_base(current: ConfigurationValue, taken: TakenRevision, base: int) -> Outcome | None:
+    """Judge what does not depend on the content; None where the change may be made."""
+    if taken in current.taken:
+        return Unchanged()
+    if base != current.revision:
+        return Refuse(BASE_FORGOTTEN if _is_forgotten(base, current) else BASE_DIFFERS)
+    if taken.revision <= current.revision:
+        return Refuse(NOT_HIGHER)
+    return None
+
+
+def _successor(
+    current: ConfigurationValue, taken: TakenRevision, body: bytes, amendment: bytes = b""
+) -> bytes:
+    history = (*current.taken, taken)[-MOST_TAKEN:]
+    return encode_value(ConfigurationValue(current.sequence + 1, taken.revision, body, history, amendment))
+
+
 def _is_forgotten(base: int, current: ConfigurationValue) -> bool:
     """May a configuration that was built on `base` have been taken before the history begins?"""
     is_whole = len(current.taken) >= current.sequence  # each change raises the sequence by one
--- a/iristrack/controlplane/distribution.py
+++ b/iristrack/controlplane/distribution.py
@@ -1,5 +1,7 @@
 """Handing topics on: to subscribers, and to the other core members.
 
+A subscriber that has the configuration before an amendment is sent the amendment alone, one that lacks it the whole.
+
 A connection loses nothing while it lasts, so that nothing is sent twice over one. A subscriber whose link is slower
 than the changes come is sent the newest value of each topic when it has taken what was sent before, and none between.
 """
@@ -13,10 +15,19 @@
 from iristrack.relay.topics import TopicTable
 from iristrack.wire.codec import encode
 from iristrack.wire.connection import PeerConnection
-from iristrack.wire.messages import Heartbeat, Subscribe, Update, Version
+from iristrack.wire.messages import (
+    ConfigurationAmendment,
+    ConfigurationValue,
+    Heartbeat,
+    Subscribe,
+    Update,
+    Version,
+)
+from iristrack.wire.values import decode_value
 
 # Topics whose changes are announced to subscribers that another member pushes to.
 ANNOUNCED = frozenset({topics.CONFIGURATION, topics.VERSIONS, topics.MEMBERS})
+MOST_AMENDMENTS = 64  # the newest ones that are kept for subscribers
 MOST_AHEAD = 32 * 1024  # bytes queued for a subscriber, above which changes wait for the newest
 
 
@@ -45,6 +56,7 @@
         self.broadcast_to_core = broadcast_to_core
         self.on_learned: list[Callable[[Update], None]] = []
         self._frames: dict[str, tuple[int, bytes]] = {}  # by topic: the sequence, and the update's frame
+        self._amendments: dict[int, bytes] = {}  # frames, by the sequence of the configuration that results
 
     def publish(self, update: Update) -> None:
         """Take a value that this process has made or learned first, and tell everyone."""
@@ -58,6 +70,8 @@
     def _learn(self, update: Update) -> bool:
         if not self.topics.learn(update):
             return False
+        if update.topic == topics.CONFIGURATION:
+            self._keep_amendment(update)
         for connection, subscriber in list(self.subscribers.items()):
             if subscriber.push and (not subscriber.member or update.topic == topics.MEMBERS):
                 self._offer(
@@ -68,6 +82,14 @@
             call(update)
         return True
 
+    def _keep_amendment(self, update: Update) -> None:
+        value = decode_value(update.value, ConfigurationValue)
+        if value is None or not value.amendment:
+            return
+        self._amendments[value.sequence] = encode(ConfigurationAmendment(value.sequence, value.amendment))
+        while len(self._amendments) > MOST_AMENDMENTS:
+            del self._amendments[min(self._amendments)]
+
     def _announce(self, update: Update) -> None:
         """Tell subscribers whose pushes come from another member that there is a newer version.
 
@@ -87,6 +109,9 @@
             known = self.subscribers[connection] = Subscriber(message.push, member)
             connection.on_drained = self._on_drained
         known.push = message.push
+        for version in message.known:
+            if version.topic == topics.CONFIGURATION:
+                known.sent[version.topic] = max(version.sequence, known.sent.get(version.topic, -1))
         self.topics.saw(message.known)
         self._catch_up(connection, known, message.known)
 
@@ -105,14 +130,26 @@
 
     def _offer(self, connection: PeerConnection, subscriber: Subscriber, update: Update) -> None:
         """Send an update, or have it wait where much is under way to this subscriber."""
-        if subscriber.sent.get(update.topic, -1) >= update.sequence:
+        sent = subscriber.sent.get(update.topic, -1)
+        if sent >= update.sequence:
             return
         if connection.queued > MOST_AHEAD:
             subscriber.waiting.add(update.topic)
             return
         subscriber.sent[update.topic] = update.sequence
         subscriber.waiting.discard(update.topic)
-        connection.send_frame(self._frame(update))
+        for frame in self._amendments_from(update, sent) or [self._frame(update)]:
+            connection.send_frame(frame)
+
+    def _amendments_from(self, update: Update, sent: int) -> list[bytes]:
+        """The amendments that make the update of what was sent; empty where the whole is needed, or is shorter."""
+        if update.topic != topics.CONFIGURATION:
+            return []
+        sequences = range(sent + 1, update.sequence + 1)
+        if len(sequences) > MOST_AMENDMENTS or any(s not in self._amendments for s in sequences):
+            return []
+        frames = [self._amendments[sequence] for sequence in sequences]
+        return frames if sum(map(len, frames)) < len(self._frame(update)) else []
 
     def _frame(self, update: Update) -> bytes:
         known = self._frames.get(update.topic)
--- a/iristrack/controlplane/operator_api.py
+++ b/iristrack/controlplane/operator_api.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from iristrack.configuration.amendment import Amendment, read_amendment
 from iristrack.configuration.document import Finding, read_configuration
 from iristrack.configuration.model import Configuration
 from iristrack.controlplane import changes
@@ -23,6 +24,7 @@
 CALL_NS = 900 * NS_PER_MS  # callers move on after a second of silence
 MOST_BODY = 7 << 20  # with what stands around it, a record of the register holds 8 MiB at most
 RETRY_AFTER = b"Content-Type: application/json\r\nRetry-After: 0.3\r\n"
+MOST_BASE_DIGITS = 18
 BASE_HEADER = b"x-iristrack-base-version"
 
 
@@ -35,6 +37,15 @@
     base: int
 
 
+@dataclass(frozen=True, slots=True)
+class AmendConfiguration:
+    """`POST /config/amend`."""
+
+    amendment: Amendment
+    body: bytes
+    base: int
+
+
 @dataclass(frozen=True, slots=True)
 class ReadConfiguration:
     """`GET /config/read`."""
@@ -68,7 +79,18 @@
     findings: tuple[Finding, ...]
 
 
-Command = ReplaceConfiguration | ReadConfiguration | NameVersion | ReadStatus | ReadMetrics | BadCall
+Command = (
+    ReplaceConfiguration
+    | AmendConfiguration
+    | ReadConfiguration
+    | NameVersion
+    | ReadStatus
+    | ReadMetrics
+    | BadCall
+)
+NO_BASE = BadCall(
+    400, (Finding("X-Iristrack-Base-Version", "no number", "send the version that it builds on"),)
+)
 Publish = Callable[[Update], None]
 TellStatus = Callable[[bool], dict]  # of whether with servers
 
@@ -79,6 +101,8 @@
     method = message.head.method
     if (method, path) == (b"POST", b"/config/replace"):
         return _decode_replace(message)
+    if (method, path) == (b"POST", b"/config/amend"):
+        return _decode_amend(message)
     if (method, path) == (b"GET", b"/config/read"):
         return ReadConfiguration()
     if (method, path) == (b"POST", b"/version-put"):
@@ -91,15 +115,28 @@
 
 
 def _decode_replace(message: http.Message) -> Command:
-    told = message.head.fields.get(BASE_HEADER, b"")
-    if not told.isdigit() or len(told) > 18:
-        return BadCall(
-            400, (Finding("X-Iristrack-Base-Version", "no number", "send the version that it builds on"),)
-        )
+    base = _base_version(message)
+    if base is None:
+        return NO_BASE
     result = read_configuration(message.body)
     if result.is_error():
         return BadCall(400, result.error)
-    return ReplaceConfiguration(result.ok, message.body, int(told))
+    return ReplaceConfiguration(result.ok, message.body, base)
+
+
+def _decode_amend(message: http.Message) -> Command:
+    base = _base_version(message)
+    if base is None:
+        return NO_BASE
+    result = read_amendment(message.body)
+    if result.is_error():
+        return BadCall(400, result.error)
+    return AmendConfiguration(result.ok, message.body, base)
+
+
+def _base_version(message: http.Message) -> int | None:
+    told = message.head.fields.get(BASE_HEADER, b"")
+    return int(told) if told.isdigit() and len(told) <= MOST_BASE_DIGITS else None
 
 
 def _decode_version(body: bytes) -> Command:
@@ -155,34 +192,45 @@
             return no_quorum()
         if isinstance(command, ReplaceConfiguration):
             return self._replace(command)
+        if isinstance(command, AmendConfiguration):
+            return self._amend(command)
         if isinstance(command, NameVersion):
             return self._name_version(command)
         return self._read()
 
     def _replace(self, command: ReplaceConfiguration) -> Response:
         change = changes.replace_configuration(command.configuration, command.body, command.base)
-        deadline = self.register.scheduler.now() + CALL_NS + transfer_ns(len(command.body))
+        result = self._change_configuration(change, len(command.body))
+        return self._answer_change(result, command.configuration.revision, command.base)
+
+    def _amend(self, command: AmendConfiguration) -> Response:
+        change = changes.AmendConfiguration(command.amendment, command.body, command.base, MOST_BODY)
+        size = len(command.body) + self.register.value_size(topics.CONFIGURATION)
+        result = self._change_configuration(change, size)
+        answer = self._answer_change(result, command.amendment.revision, command.base)
+        if isinstance(result, Rejected | Overtaken) and result.reason == changes.INVALID:
+            return _findings(BadCall(400, change.findings))
+        return answer
+
+    def _change_configuration(self, change: changes.Change, size: int) -> ProposerResult:
+        """Change the register whose value has about `size` bytes, and tell everyone what it holds."""
+        deadline = self.register.scheduler.now() + CALL_NS + transfer_ns(size)
         result = self.register.change(topics.CONFIGURATION, change, deadline)
         self._publish_configuration(result)
-        self.log.info(
-            "configuration call",
-            revision=command.configuration.revision,
-            base=command.base,
-            result=type(result).__name__,
-        )
+        return result
+
+    def _answer_change(self, result: ProposerResult, revision: int, base: int) -> Response:
+        self.log.info("configuration call", revision=revision, base=base, result=type(result).__name__)
         if isinstance(result, Committed):
-            return Response(200, b'{"revision":%d}' % command.configuration.revision)
+            return Response(200, b'{"revision":%d}' % revision)
         if isinstance(result, Rejected | Overtaken) and result.reason != changes.BASE_FORGOTTEN:
             status = 412 if result.reason == changes.BASE_DIFFERS else 400
             return Response(status, json.dumps({"message": result.reason}).encode())
         return no_quorum()
 
     def _read(self) -> Response:
-        deadline = (
-            self.register.scheduler.now()
-            + CALL_NS
-            + transfer_ns(self.register.value_size(topics.CONFIGURATION))
-        )
+        size = self.register.value_size(topics.CONFIGURATION)
+        deadline = self.register.scheduler.now() + CALL_NS + transfer_ns(size)
         result = self.register.change(topics.CONFIGURATION, changes.unchanged, deadline)
         if not isinstance(result, Committed):
             return no_quorum()
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -6,13 +6,16 @@
 import signal
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 
-from iristrack.configuration.building import parse_configuration
+from iristrack.configuration.amendment import SERVICES, parse_amendment
+from iristrack.configuration.building import parse_services
 from iristrack.controlplane import changes
 from iristrack.controlplane.distribution import Distribution
 from iristrack.controlplane.environment import Environment, SystemEnvironment
 from iristrack.controlplane.founding import Founding
 from iristrack.controlplane.kept_prompts import KeptPrompts
+from iristrack.controlplane.key_leases import KeyLeases
 from iristrack.controlplane.list_poller import ListPoller
 from iristrack.controlplane.load_hub import LoadHub
 from iristrack.controlplane.member_changes import MemberChanges
@@ -35,8 +38,11 @@
     Hello,
     KeptBatch,
     KeptSubscribe,
+    KeyLeaseRequest,
     MembersValue,
     Message,
+    NewestAnswer,
+    NewestQuery,
     Prepare,
     Promise,
     ServerLoads,
@@ -65,6 +71,15 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class HoldingServices:
+    """Who keeps parts of prompts, by one configuration: services whose servers do, and addresses of stores."""
+
+    sequence: int  # of the configuration
+    engines: frozenset[str]
+    stores: frozenset[str]
+
+
 class ControlPlane:
     """All parts of one control plane process."""
 
@@ -109,10 +124,11 @@
         self.distribution = Distribution(self.dialers.broadcast, self._announcement)
         self.load_hub = LoadHub(self.scheduler, settings.node_name, self.dialers.broadcast)
         self.kept = KeptPrompts(self.scheduler, self.address, self._holders, self._connected)
+        self.key_leases = KeyLeases(self.register, self._send)
         self.heartbeats = 0
         self.peer_book = PeerBook()
         self._core: set[PeerConnection] = set()  # accepted connections whose other ends are core members
-        self._holders_of: tuple[int, set[str], set[str]] = (-1, set(), set())  # of which configuration
+        self._holders_of = HoldingServices(-1, frozenset(), frozenset())
         self._learned: dict[str, tuple] = {}  # key: the accepted ballot that was last seen committed
         self.weights: WeightsDuty | None = None
         self._stopping = False
@@ -233,9 +249,9 @@
         update = self.distribution.topics.get(topics.CONFIGURATION)
         if update is None:
             return set()
-        if update.sequence != self._holders_of[0]:
-            self._holders_of = (update.sequence, *_engines_and_stores(update.value))
-        _, engines, stores = self._holders_of
+        if update.sequence != self._holders_of.sequence:
+            self._holders_of = _holding_services(update, self._holders_of)
+        engines, stores = self._holders_of.engines, self._holders_of.stores
         servers = self.weights.servers if self.weights is not None else []
         return stores | {server.address for server in servers if server.service in engines}
 
@@ -311,6 +327,14 @@
             self._on_heartbeat(connection, message)
         elif isinstance(message, ServerLoads):
             self._on_loads(connection, message)
+        elif isinstance(message, KeyLeaseRequest):
+            self.key_leases.request(connection, message)
+        elif isinstance(message, NewestQuery):
+            answer = self.key_leases.answer(message)
+            if answer is not None:
+                connection.send(answer)
+        elif isinstance(message, NewestAnswer):
+            self.key_leases.heard(message)
         elif isinstance(message, KeptBatch):
             self.kept.from_member(message)
         elif isinstance(message, KeptSubscribe):
@@ -376,12 +400,15 @@
             self.distribution.publish(Update(topics.topic_of(key), value.sequence, told))
 
 
-def _engines_and_stores(value: bytes) -> tuple[set[str], set[str]]:
-    """The services whose servers keep prompts, and the addresses of the stores, in a configuration's value."""
-    told = decode_value(value, ConfigurationValue)
+def _holding_services(update: Update, known: HoldingServices) -> HoldingServices:
+    """Read what a configuration says of them, unless it differs from the known one in other things alone."""
+    told = decode_value(update.value, ConfigurationValue)
     if told is None or not told.body:
-        return set(), set()
-    configuration = parse_configuration(told.body)
-    engines = {service.label for service in configuration.services if service.engine is not None}
-    stores = {service.store.address for service in configuration.services if service.store is not None}
-    return engines, stores
+        return HoldingServices(update.sequence, frozenset(), frozenset())
+    follows = told.amendment and told.sequence == known.sequence + 1
+    if follows and not parse_amendment(told.amendment).touches(SERVICES):
+        return replace(known, sequence=update.sequence)
+    services = parse_services(told.body)
+    engines = frozenset(service.label for service in services if service.engine is not None)
+    stores = frozenset(service.store.address for service in services if service.store is not None)
+    return HoldingServices(update.sequence, engines, stores)
--- a/iristrack/controlplane/register_host.py
+++ b/iristrack/controlplane/register_host.py
@@ -34,9 +34,11 @@
 from iristrack.store.sync_thread import SyncThread
 from iristrack.wire.messages import (
     FOUNDED,
+    NO_BALLOT,
     UNFOUNDED,
     Accept,
     Accepted,
+    ConfigurationValue,
     MembersValue,
     Message,
     Prepare,
@@ -110,6 +112,7 @@
             None  # of this process as it was replaced, for its successor to read from
         )
         self._when_voting_again: Callable[[], None] = lambda: None  # once the disk takes records again
+        self._accepted_sequence = (NO_BALLOT, 0)  # of the configuration: its ballot and sequence
         self._on_disk: dict[str, Cell] = {}  # the cells as they are on the disk, of a voting acceptor
         if self.member_set.members and opened.identity is not None and opened.identity.incarnation:
             cells = {key: Cell(r.promised, r.accepted, r.value) for key, r in opened.cells.items()}
@@ -155,6 +158,21 @@
         """How long the value is that this process's acceptor holds of a register (bytes)."""
         return 0 if self.acceptor is None else len(self.acceptor.cell(key).value)
 
+    def accepted_configuration(self, member_sequence: int) -> int | None:
+        """The sequence of the configuration that this process has accepted, 0 before the first one.
+
+        None where its acceptor does not vote in that member set.
+        """
+        cell = (
+            None if self.acceptor is None else self.acceptor.accepted(topics.CONFIGURATION, member_sequence)
+        )
+        if cell is None:
+            return None
+        if self._accepted_sequence[0] != cell.accepted:
+            value = decode_value(cell.value, ConfigurationValue)
+            self._accepted_sequence = (cell.accepted, 0 if value is None else value.sequence)
+        return self._accepted_sequence[1]
+
     # ---- how an acceptor comes to vote, and ceases to
 
     def form(self, members: tuple[str, ...]) -> None:
--- a/iristrack/controlplane/weights.py
+++ b/iristrack/controlplane/weights.py
@@ -177,6 +177,9 @@
         )
         try:
             caller.close()  # on a connection of its own: no late answer can be taken for the order's
+            caller.connect(self.scheduler.now() + CALL_NS)
+            if not self.lease.may_act(self.scheduler.now()):
+                return False  # it ended while the connection came up
             answer = caller.call(
                 b"POST", b"/order", lines, json.dumps(body).encode(), self.scheduler.now() + CALL_NS
             )
--- a/iristrack/dataplane/attempts.py
+++ b/iristrack/dataplane/attempts.py
@@ -4,7 +4,7 @@
 
 import re
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import Enum
 
 from iristrack.dataplane.clients import ClientConnection, ClientLeft
@@ -35,6 +35,10 @@
         self.ran = ran
 
 
+class SendForbidden(Exception):
+    """The right to send the request has ended before it was sent."""
+
+
 class DeadlinePassed(Exception):
     """The time for the request is over while the server was working."""
 
@@ -76,8 +80,11 @@
         self._link: Link | None = None
         self._whole: http.Message | None = None  # an answer without a body
 
-    def send(self, request: bytes) -> None:
-        """Open or reuse a connection and write the request; raises `AttemptFailed`."""
+    def send(self, request: bytes, may_send: Callable[[], bool]) -> None:
+        """Open or reuse a connection and write the request; raises `AttemptFailed`.
+
+        `may_send` is asked last, as the wait for a connection takes time; raises `SendForbidden` where it says no.
+        """
         try:
             link = self.links.take(self.server.instance_id, min(self.deadline, clock() + CONNECT_NS))
         except OSError as fault:
@@ -85,6 +92,8 @@
         if link is None:
             raise AttemptFailed("no connection can be had", ran=False)
         self._link = link
+        if not may_send():
+            raise SendForbidden
         self.written = True
         try:
             self._write(request)
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -10,6 +10,7 @@
 import secrets
 from collections.abc import Callable
 
+from iristrack.configuration.amendment import parse_amendment
 from iristrack.configuration.document import parse_configuration
 from iristrack.dataplane.core_view import CoreView
 from iristrack.dataplane.discovery import ListFollower
@@ -23,11 +24,14 @@
 from iristrack.wire.dialing import HEARTBEAT_NS, DialerSet, OpenConnection
 from iristrack.wire.messages import (
     BusyServers,
+    ConfigurationAmendment,
     ConfigurationValue,
     Heartbeat,
     Hello,
     KeptBatch,
     KeptSubscribe,
+    KeyLeaseGrant,
+    KeyLeaseRequest,
     MembersValue,
     Message,
     ServerLoads,
@@ -40,6 +44,7 @@
 NS_PER_MS = 1_000_000
 SIDECARS_PER_HEARTBEAT = 24  # so many more sidecars add the first interval once more
 LONGEST_HEARTBEAT_NS = 1000 * NS_PER_MS  # a change that the hub did not push is heard of within it
+LEASE_TICK_NS = 100 * NS_PER_MS  # how often it is looked whether the lease of keys is to be renewed
 BUSY_NS = 3000 * NS_PER_MS  # a server that takes new weights is left alone for so long unless told otherwise
 
 
@@ -61,6 +66,7 @@
         self._ask_timer: Timer | None = None
         self.on_configuration: Callable[[], None] = lambda: None
         self.loads = LoadReporter(plane, self)
+        self._sequence = -1  # of the configuration in force
         self._busy: set[str] = set()
         self._handlers: dict[str, Callable[[bytes], None]] = {
             topics.CONFIGURATION: self._on_configuration,
@@ -79,10 +85,12 @@
             open_one,
         )
         self.follow_seeds()
+        plane.scheduler.call_at(plane.scheduler.now() + LEASE_TICK_NS, self._renew_key_lease)
 
     def follow_seeds(self) -> None:
         """Dial the members that are known, and the seeds of the settings."""
         settings = self.plane.settings
+        self.plane.key_lease.follow(settings.rule_bounds.key_lease_ms)
         seeds = {f"{seed.host}:{settings.port_range.first}" for seed in settings.seed_nodes}
         self.dialers.follow(seeds | set(self._members()))
 
@@ -129,12 +137,17 @@
                     self._subscribe(connection)
             if hub is not None:
                 hub.send(KeptSubscribe(own_only=False))
+                self._ask_for_key_lease()
 
     def _on_message(self, connection: PeerConnection, message: Message) -> None:
         if isinstance(message, Update) and self.topics.learn(message):
             handler = self._handlers.get(message.topic)
             if handler is not None:
                 handler(message.value)
+        elif isinstance(message, ConfigurationAmendment):
+            self._on_amendment(message)
+        elif isinstance(message, KeyLeaseGrant):
+            self.plane.key_lease.granted(message.number, message.sequence)
         elif isinstance(message, ServerLoads):
             if connection is self._hub:
                 self.loads.on_others(message)
@@ -179,10 +192,42 @@
         told = decode_value(value, ConfigurationValue)
         if told is None or not told.body:
             return
-        active = ActiveConfiguration(parse_configuration(told.body))
+        self._put_in_force(ActiveConfiguration(parse_configuration(told.body)), told.sequence)
+
+    def _on_amendment(self, message: ConfigurationAmendment) -> None:
+        """Amend the configuration in force; where it is not the one before, the whole comes from another member."""
+        if self.plane.active is None or message.sequence != self._sequence + 1:
+            return
+        active = self.plane.active.amended(parse_amendment(message.body))
+        self.topics.learn(Update(topics.CONFIGURATION, message.sequence, b""))
+        self._put_in_force(active, message.sequence)
+
+    def _put_in_force(self, active: ActiveConfiguration, sequence: int) -> None:
         self.plane.active = active
+        self._sequence = sequence
+        self.plane.key_lease.in_force(sequence)
         self.on_configuration()
-        self.log.info("configuration in force", revision=told.revision, sequence=told.sequence)
+        self.log.info("configuration in force", revision=active.configuration.revision, sequence=sequence)
+
+    # ---- the lease under which keys are honoured
+
+    def _renew_key_lease(self) -> None:
+        now = self.plane.scheduler.now()
+        if self.plane.key_lease.wants_request(now):
+            self._ask_for_key_lease()
+        self.plane.scheduler.call_at(now + LEASE_TICK_NS, self._renew_key_lease)
+
+    def _ask_for_key_lease(self) -> None:
+        """Ask the hub, and where it has not answered the last time, every member."""
+        lease = self.plane.key_lease
+        if not lease.needed:
+            return
+        hub = self.core.choose_hub()
+        asked = [hub] if hub is not None and not lease.has_unanswered else list(self.core.members)
+        request = KeyLeaseRequest(lease.asks(self.plane.scheduler.now()))
+        for connection in asked:
+            if not connection.closed:
+                connection.send(request)
 
     def _on_versions(self, value: bytes) -> None:
         told = decode_value(value, VersionsValue)
--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from iristrack.dataplane.attempts import Attempt, AttemptFailed, DeadlinePassed, Verdict, verdict
+from iristrack.dataplane.attempts import (
+    Attempt,
+    AttemptFailed,
+    DeadlinePassed,
+    SendForbidden,
+    Verdict,
+    verdict,
+)
 from iristrack.dataplane.client_answer import ClientAnswer
 from iristrack.dataplane.clients import ClientConnection, ClientLeft
 from iristrack.dataplane.events import EventSplitter, EventTooLarge
@@ -19,6 +26,7 @@
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000 * NS_PER_MS
 RETRY_AFTER_S = 0.4  # told to a client whose request has not run
+RETRY_AFTER_LINE = b"Retry-After: %.3f\r\n" % RETRY_AFTER_S
 SILENT_NS = 1500 * NS_PER_MS  # without a word from a server, at the end of which it counts as failed
 LEAST_LEFT_NS = 20 * NS_PER_MS  # with less time left nothing is sent any more
 SHORT_OUTPUT_TOKENS = 32  # an answer of so many tokens is done soon
@@ -83,7 +91,7 @@
         self.prompt.look_again()
         if self.may_have_run and not self.request.idempotent:
             return None
-        if self.request.hold_until - now < LEAST_LEFT_NS:
+        if self.request.hold_until - now < LEAST_LEFT_NS or not self._may_send():
             return None
         if len(self.tried) >= self.request.route.max_tries:
             return None
@@ -92,6 +100,10 @@
             return None
         return server
 
+    def _may_send(self) -> bool:
+        """Is the key, where one is needed, still confirmed?"""
+        return not self.request.needs_key or self.plane.key_lease.holds(clock())
+
     def _give_up(self) -> None:
         if self.answer.begun:
             self.answer.break_off()
@@ -100,8 +112,7 @@
             self._fail(502, b"the server broke off\n")
         else:
             self.plane.counters.refused += 1
-            retry_after = b"Retry-After: %.3f\r\n" % RETRY_AFTER_S
-            self.answer.whole(503, b"not run: no server can take it now\n", retry_after)
+            self.answer.whole(503, b"not run: no server can take it now\n", RETRY_AFTER_LINE)
 
     def _fail(self, status: int, body: bytes) -> None:
         if self.answer.begun:
@@ -145,11 +156,13 @@
         server.began(self._unread)
         self.prompt.begin_read(server)
         try:
-            attempt.send(self._encode(server, cache))
+            attempt.send(self._encode(server, cache), self._may_send)
             return self._take_answer(attempt, server, cache)
         except AttemptFailed as failure:
             self._note_failure(server, failure)
             return False
+        except SendForbidden:
+            return False
         except (ClientLeft, DeadlinePassed):
             if attempt.head is None and clock() - began > SILENT_NS:
                 server.failed(clock())  # it said nothing for so long that the client has given up
@@ -309,10 +322,13 @@
         client.write(http.response(503, b"no configuration yet\n", b"Retry-After: 0.5\r\n", close=True))
         return False
     try:
-        request = read_request(plane.active, message, arrived)
+        request = read_request(plane.active, message, arrived, plane.key_lease.holds(clock()))
     except Rejected as rejection:
         keep = keep and rejection.status != 400  # what cannot be read may be followed by anything
-        client.write(http.response(rejection.status, rejection.reason.encode() + b"\n", b"", close=not keep))
+        lines = RETRY_AFTER_LINE if rejection.status == 503 else b""
+        client.write(
+            http.response(rejection.status, rejection.reason.encode() + b"\n", lines, close=not keep)
+        )
         return keep
     exchange = Exchange(plane, client, request, keep)
     exchange.run()
--- a/iristrack/dataplane/requests.py
+++ b/iristrack/dataplane/requests.py
@@ -14,6 +14,7 @@
 LONGEST_WAIT_MS = 3_600_000.0
 ASSUMED_WAIT_MS = 30_000.0  # of a client that does not say
 DEFAULT_PRIORITY = 5
+KEYS_UNCONFIRMED = "not run: the keys that are in force could not be confirmed lately"
 
 _ATTEMPT_ID = re.compile(rb"[\x21-\x7e]{1,200}\Z")
 _NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,9})?\Z")
@@ -56,6 +57,7 @@
     prompt_tokens: int
     output_tokens: int
     last_event_id: int | None
+    needs_key: bool  # it may be sent only while the lease of keys holds
     keeps_alive: bool
     version: int  # minor version of HTTP/1
 
@@ -89,13 +91,18 @@
         return self.prompt_tokens + self.output_tokens
 
 
-def read_request(active: ActiveConfiguration, message: http.Message, arrived: int) -> ClientRequest:
-    """Read a whole request; raises `Rejected`."""
+def read_request(
+    active: ActiveConfiguration, message: http.Message, arrived: int, keys_hold: bool = True
+) -> ClientRequest:
+    """Read a whole request; raises `Rejected`, also for one that needs a key while the keys in force may be old."""
     head = message.head
     fields = head.fields
     if head.repeated & _ONCE:
         raise Rejected(400, "a header that may stand once stands twice")
     route = _route(active, head)
+    needs_key = active.tenants.required and not route.public
+    if needs_key and not keys_hold:
+        raise Rejected(503, KEYS_UNCONFIRMED)
     tenant = _tenant(active, route, fields)
     attempt_id = fields.get(b"x-iristrack-attempt-id", b"")
     if not _ATTEMPT_ID.match(attempt_id):
@@ -120,6 +127,7 @@
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         last_event_id=_last_event_id(fields),
+        needs_key=needs_key,
         keeps_alive=head.keeps_alive,
         version=head.version,
     )
--- a/iristrack/dataplane/state.py
+++ b/iristrack/dataplane/state.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from iristrack.admission.retry_budget import RetryBudget
-from iristrack.configuration.model import Configuration, Service
+from iristrack.configuration.amendment import ROUTES, TENANTS, Amendment, amend_configuration
+from iristrack.configuration.key_lease import KeyLease
+from iristrack.configuration.model import Configuration, Route, Service, Tenant
 from iristrack.configuration.routes import RouteTable
 from iristrack.configuration.tenants import TenantTable
 from iristrack.net.links import Links
@@ -17,20 +21,49 @@
 from iristrack.settings import Settings
 
 MOST_INDEX_ENTRIES = 60_000
+Labelled = TypeVar("Labelled", Route, Tenant)
 SIDECARS_ASSUMED = 12  # that share the retry budget while their number is not known
 
 
 class ActiveConfiguration:
     """A configuration with its tables."""
 
-    def __init__(self, configuration: Configuration) -> None:
-        """Builds the tables."""
+    def __init__(
+        self,
+        configuration: Configuration,
+        routes: RouteTable | None = None,
+        tenants: TenantTable | None = None,
+    ) -> None:
+        """Build the tables that are not given."""
         self.configuration = configuration
-        self.routes = RouteTable(configuration)
-        self.tenants = TenantTable(configuration)
+        self.routes = routes or RouteTable(configuration)
+        self.tenants = tenants or TenantTable(configuration)
         self.services: dict[str, Service] = {s.label: s for s in configuration.services}
         self.stores = tuple(s.store for s in configuration.services if s.store is not None)
 
+    def amended(self, amendment: Amendment) -> ActiveConfiguration:
+        """Return the configuration after an amendment that was found valid, with tables of which only rows change."""
+        before = self.configuration
+        after = amend_configuration(before, amendment)
+        routes = tenants = None
+        if amendment.touches(ROUTES):
+            routes = self.routes.amended(
+                _touched(before.routes, amendment, ROUTES), _touched(after.routes, amendment, ROUTES)
+            )
+        if amendment.touches(TENANTS):
+            tenants = self.tenants.amended(
+                _touched(before.tenants or (), amendment, TENANTS),
+                _touched(after.tenants or (), amendment, TENANTS),
+                after.tenants is not None,
+            )
+        return ActiveConfiguration(after, routes or self.routes, tenants or self.tenants)
+
+
+def _touched(items: Iterable[Labelled], amendment: Amendment, name: str) -> list[Labelled]:
+    """Return the items of a list that an amendment names."""
+    named = amendment.rows(name).keys() | amendment.removed(name)
+    return [item for item in items if item.label in named]
+
 
 @dataclass(slots=True)
 class ModelVersion:
@@ -68,6 +101,7 @@
     versions: dict[str, ModelVersion] = field(default_factory=dict)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     counters: Counters = field(default_factory=Counters)
+    key_lease: KeyLease = field(default_factory=lambda: KeyLease(None))
     sidecars: int = SIDECARS_ASSUMED
     draining: bool = False
 
--- a/iristrack/http1/fetching.py
+++ b/iristrack/http1/fetching.py
@@ -18,6 +18,12 @@
         self.address = address
         self._link: Link | None = None
 
+    def connect(self, deadline: int) -> None:
+        """Open a connection for the next call, if none is kept; raises `OSError`."""
+        if self._link is None:
+            sock = connect(self.scheduler, self.address, deadline)
+            self._link = Link(self.scheduler, sock, None, limit=MOST_ANSWER, whole=MOST_ANSWER)
+
     def call(self, method: bytes, target: bytes, lines: bytes, body: bytes, deadline: int) -> http.Message:
         """The whole answer. Raises `OSError`, `http.Malformed` or `http.Truncated` where there is none in time."""
         link = self._link
@@ -26,8 +32,8 @@
             link.sock.close()
             link = None
         if link is None:
-            sock = connect(self.scheduler, self.address, deadline)
-            link = Link(self.scheduler, sock, None, limit=MOST_ANSWER, whole=MOST_ANSWER)
+            self.connect(deadline)
+            link, self._link = self._link, None
         try:
             host = b"Host: %b:%d\r\n" % (self.address[0].encode(), self.address[1])
             link.write(http.request(method, target, host + lines, body), deadline)
--- a/iristrack/register/acceptor.py
+++ b/iristrack/register/acceptor.py
@@ -105,6 +105,12 @@
         """Return what is held of the key."""
         return self._cells.get(key, EMPTY_CELL)
 
+    def accepted(self, key: str, member_sequence: int) -> Cell | None:
+        """What is held of the key, as told to members of that set; None where this acceptor does not vote in it."""
+        if self._is_replaced or not self._votes_on(key, member_sequence):
+            return None
+        return self.cell(key)
+
     def serve_successor(self, member_sequence: int) -> None:
         """Vote no more, and let the process that takes this acceptor's place in that set read what it holds.
 
--- a/iristrack/settings.py
+++ b/iristrack/settings.py
@@ -119,6 +119,11 @@
     version_ms: float = 8_000
     version_fleet_ms: float = 0
 
+    @property
+    def key_lease_ms(self) -> float | None:
+        """For how long keys may be honoured unconfirmed; None where removed keys bind machines in touch alone."""
+        return self.revoke_ms if self.revoke_global else None
+
 
 @dataclass(frozen=True, slots=True)
 class ProviderInterface:
--- a/iristrack/standin/operator.py
+++ b/iristrack/standin/operator.py
@@ -49,9 +49,18 @@
 
 def replace_call(body: bytes | Document, base: int) -> Call:
     """`POST /config/replace`."""
+    return _change_call("/config/replace", body, base)
+
+
+def amend_call(body: bytes | Document, base: int) -> Call:
+    """`POST /config/amend`."""
+    return _change_call("/config/amend", body, base)
+
+
+def _change_call(path: str, body: bytes | Document, base: int) -> Call:
     encoded = body if isinstance(body, bytes) else json.dumps(body).encode()
     headers = (("X-Iristrack-Base-Version", str(base)), ("Content-Type", "application/json"))
-    return Call("POST", "/config/replace", encoded, headers)
+    return Call("POST", path, encoded, headers)
 
 
 class Operator:
@@ -68,6 +77,12 @@
         """Send a whole configuration until there is a clear answer; `first` is the address to begin at."""
         return self.call(replace_call(body, base), first, patience_s)
 
+    def amend(
+        self, body: bytes | Document, base: int, first: str | None = None, patience_s: float = PATIENCE_S
+    ) -> Answer:
+        """Send an amendment until there is a clear answer."""
+        return self.call(amend_call(body, base), first, patience_s)
+
     def read(self, first: str | None = None, patience_s: float = PATIENCE_S) -> Answer:
         """Read the newest configuration."""
         return self.call(Call("GET", "/config/read"), first, patience_s)
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -83,7 +83,7 @@
     MessageKind(7, messages.Update),
     MessageKind(8, messages.Heartbeat, version=2),
     MessageKind(9, messages.View),
-    MessageKind(10, messages.ConfigurationValue),
+    MessageKind(10, messages.ConfigurationValue, version=2),
     MessageKind(11, messages.VersionsValue),
     MessageKind(12, messages.DutyValue),
     MessageKind(13, messages.MembersValue, version=3),
@@ -92,6 +92,11 @@
     MessageKind(16, messages.ServersValue),
     MessageKind(17, messages.KeptBatch),
     MessageKind(18, messages.KeptSubscribe),
+    MessageKind(19, messages.ConfigurationAmendment),
+    MessageKind(20, messages.NewestQuery),
+    MessageKind(21, messages.NewestAnswer),
+    MessageKind(22, messages.KeyLeaseRequest),
+    MessageKind(23, messages.KeyLeaseGrant),
 )
 
 
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -158,6 +158,48 @@
     revision: int
     body: bytes
     taken: tuple[TakenRevision, ...] = ()
+    amendment: bytes = b""  # what made it of the value before it; empty where the whole was replaced
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationAmendment:
+    """The configuration `sequence` is the one before it (`sequence` - 1) amended by `body`."""
+
+    sequence: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NewestQuery:
+    """How new is the configuration that the receiver's acceptor has accepted, acknowledged or not?"""
+
+    call: int  # echoed by the answer
+    members: int  # sequence of the member set that the sender goes by
+
+
+@dataclass(frozen=True, slots=True)
+class NewestAnswer:
+    """Answer to `NewestQuery` by a voting acceptor of that member set; others do not answer."""
+
+    call: int
+    acceptor: str
+    members: int
+    sequence: int  # of the accepted configuration; 0: none
+
+
+@dataclass(frozen=True, slots=True)
+class KeyLeaseRequest:
+    """A sidecar asks for a lease on the right to honour keys; `number` is echoed."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyLeaseGrant:
+    """When the request was sent, no configuration newer than `sequence` had been acknowledged."""
+
+    number: int
+    sequence: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -311,4 +353,9 @@
     | ServersValue
     | KeptBatch
     | KeptSubscribe
+    | ConfigurationAmendment
+    | NewestQuery
+    | NewestAnswer
+    | KeyLeaseRequest
+    | KeyLeaseGrant
 )
--- /dev/null
+++ b/tests/configuration/test_amendment.py
@@ -0,0 +1,209 @@
+"""Amendments: what is refused and where, and that the typed way and the document's way give the same configuration."""
+
+from __future__ import annotations
+
+import copy
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from iristrack.configuration.amendment import apply_amendment, parse_amendment, read_amendment
+from iristrack.configuration.document import read_configuration
+from iristrack.configuration.model import Configuration
+from iristrack.dataplane.state import ActiveConfiguration
+from tests.configuration.samples import encode, sample_document
+
+HOSTS = ("a.example", "b.example", "A.example")
+PREFIXES = ("/a/", "/a/b/", "/b/", "/")
+SERVICES = ("pool-a", "pool-b", "pool-c")
+
+
+def amendment(**fields: object) -> bytes:
+    return json.dumps({"revision": 9} | fields).encode()
+
+
+def places(body: bytes) -> list[str]:
+    result = read_amendment(body)
+    return [finding.place for finding in result.error] if result.is_error() else []
+
+
+def route(label: str, host: str = "a.example", prefix: str = "/a/", target: str = "pool-a") -> dict:
+    plain = sample_document()["route_table"][1]
+    return {**plain, "label": label, "hostname": host, "path_prefix": prefix, "target": target}
+
+
+def applied(document: dict, body: bytes) -> tuple[dict | None, list[str]]:
+    result = apply_amendment(document, read_amendment(body).ok)
+    return (result.ok, []) if result.is_ok() else (None, [finding.place for finding in result.error])
+
+
+@pytest.mark.parametrize(
+    ("body", "place"),
+    [
+        (b"{", "document"),
+        (b"[]", "document"),
+        (amendment(revision=True), "revision"),
+        (json.dumps({"upsert": {}}).encode(), "revision"),
+        (amendment(upsert=[]), "upsert"),
+        (amendment(remove="route_table"), "remove"),
+        (amendment(upsert={"routes": []}), "upsert.routes"),
+        (amendment(remove={"limits": []}), "remove.limits"),
+        (amendment(upsert={"route_table": {}}), "upsert.route_table"),
+        (amendment(remove={"tenants": "north"}), "remove.tenants"),
+        (amendment(limits={"idle_timeout_ms": 1}), "limits"),
+        (amendment(route_table=[]), "route_table"),
+        (amendment(upsert={"route_table": [route("r") | {"timeout_ms": 0}]}), "upsert.route_table[0].timeout_ms"),
+        (amendment(upsert={"services": [{"label": 3}]}), "upsert.services[0].label"),
+        (amendment(upsert={"services": ["pool"]}), "upsert.services[0]"),
+        (amendment(upsert={"tenants": [{"label": "t"}]}), "upsert.tenants[0].api_keys"),
+        (amendment(upsert={"route_table": [route("r"), route("r", prefix="/z/")]}), "upsert.route_table[1].label"),
+        (amendment(remove={"route_table": [["r"]]}), "remove.route_table[0]"),
+        (amendment(upsert={"route_table": [route("r")]}, remove={"route_table": ["r"]}), "remove.route_table[0]"),
+        (amendment(upsert={"services": [{"label": []}]}, remove={"services": ["x"]}), "upsert.services[0].label"),
+    ],
+)  # fmt: skip
+def test_what_cannot_be_meant_is_found_with_its_place(body: bytes, place: str) -> None:
+    assert places(body) == [place]
+
+
+def test_items_are_replaced_in_their_places_added_at_the_end_and_removed() -> None:
+    document = sample_document()
+    before = copy.deepcopy(document)
+    changed = document["route_table"][0] | {"timeout_ms": 77}
+    body = amendment(
+        upsert={"route_table": [route("r-new", prefix="/new/"), changed], "services": [{"label": "pool-c"}]},
+        remove={"route_table": ["r-plain"]},
+    )
+    result, _ = applied(document, body)
+    assert [row["label"] for row in result["route_table"]] == ["r-split", "r-new"]
+    assert result["route_table"][0]["timeout_ms"] == 77
+    assert result["revision"] == 9
+    assert [row["label"] for row in result["services"]][-1] == "pool-c"
+    assert document == before
+    assert read_configuration(encode(result)).is_ok()
+
+
+def test_to_remove_what_is_not_there_changes_nothing_else() -> None:
+    document = sample_document()
+    result, _ = applied(document, amendment(remove={"route_table": ["no such"], "tenants": ["nobody"]}))
+    assert result == document | {"revision": 9}
+
+
+@pytest.mark.parametrize(
+    ("body", "place"),
+    [
+        (amendment(remove={"services": ["pool-b"]}), "route_table[0].weighted_targets[1].target"),
+        (amendment(upsert={"route_table": [route("r", target="none")]}), "route_table[2].target"),
+        (
+            amendment(upsert={"route_table": [route("r", "FICU95.example", "/pufi791/")]}),
+            "route_table[2].path_prefix",
+        ),
+    ],
+)
+def test_what_no_longer_fits_together_is_found_in_the_configuration_that_would_result(
+    body: bytes, place: str
+) -> None:
+    _, found = applied(sample_document(), body)
+    assert place in found
+
+
+def test_a_key_of_another_tenant_is_found() -> None:
+    document = sample_document()
+    key = document["tenants"][0]["api_keys"][0]
+    _, found = applied(document, amendment(upsert={"tenants": [{"label": "new", "api_keys": ["k", key]}]}))
+    assert found == [f"tenants[{len(document['tenants'])}].api_keys[1]"]
+
+
+def test_a_key_can_change_its_tenant_in_one_amendment() -> None:
+    document = sample_document()
+    first = document["tenants"][0]
+    moved = {"label": "new", "api_keys": first["api_keys"]}
+    result, _ = applied(
+        document, amendment(upsert={"tenants": [moved]}, remove={"tenants": [first["label"]]})
+    )
+    assert moved in result["tenants"]
+
+
+def test_a_label_that_several_items_bear_cannot_be_amended() -> None:
+    document = sample_document()
+    document["route_table"][1]["label"] = "r-split"
+    assert applied(document, amendment(remove={"route_table": ["r-split"]}))[1] == ["route_table"]
+
+
+# ---- the typed configuration follows the document
+
+ROUTES = st.dictionaries(
+    st.tuples(st.sampled_from(("a.example", "b.example")), st.sampled_from(PREFIXES)),
+    st.tuples(st.sampled_from(("r1", "r2", "r3", "r4")), st.sampled_from(SERVICES)),
+    max_size=4,
+)
+KEYS = st.dictionaries(st.sampled_from(("k1", "k2", "k3", "k4")), st.sampled_from(("t1", "t2", "t3")))
+LABELS = st.sets(st.sampled_from(("r1", "r2", "r3", "r4")))
+
+
+def rows_of(drawn: dict) -> list[dict]:
+    """One route for each label."""
+    by_label = {
+        label: route(label, host, prefix, target) for (host, prefix), (label, target) in drawn.items()
+    }
+    return list(by_label.values())
+
+
+def tenants_of(drawn: dict) -> list[dict]:
+    labels = sorted(set(drawn.values()))
+    return [
+        {"label": label, "api_keys": sorted(k for k, holder in drawn.items() if holder == label)}
+        for label in labels
+    ]
+
+
+def lookups(active: ActiveConfiguration) -> list[object]:
+    routes = [
+        active.routes.match(host, path)
+        for host in HOSTS
+        for path in ("/a/x", "/a/b/x", "/b/x", "/x", "/a/b/")
+    ]
+    return [*routes, *(active.tenants.holder(key) for key in ("k1", "k2", "k3", "k4"))]
+
+
+@given(
+    standing=ROUTES,
+    steps=st.lists(st.tuples(ROUTES, LABELS, KEYS, st.sets(st.sampled_from(("t1", "t2", "t3"))))),
+    keys=st.none() | KEYS,
+)
+def test_the_amended_tables_are_those_of_the_whole_configuration(standing, steps, keys) -> None:
+    document = sample_document() | {
+        "route_table": rows_of(standing),
+        "services": [{"label": label} for label in SERVICES],
+    }
+    document["tenants"] = tenants_of(keys or {})
+    if keys is None:
+        del document["tenants"]
+    active = ActiveConfiguration(read_configuration(encode(document)).ok)
+    for number, (upsert, removed, new_keys, removed_tenants) in enumerate(steps, 10):
+        added = rows_of(upsert)
+        tenants = tenants_of(new_keys)
+        kept = removed - {row["label"] for row in added}
+        kept_tenants = removed_tenants - {row["label"] for row in tenants}
+        body = json.dumps(
+            {
+                "revision": number,
+                "upsert": {"route_table": added, "tenants": tenants},
+                "remove": {"route_table": sorted(kept), "tenants": sorted(kept_tenants)},
+            }
+        ).encode()
+        result, faults = applied(document, body)
+        if faults:
+            assert result is None
+            continue
+        document = result
+        active = active.amended(parse_amendment(body))
+        whole: Configuration = read_configuration(encode(document)).ok
+        assert active.configuration.routes == whole.routes
+        assert active.configuration.services == whole.services
+        assert active.configuration.tenants == whole.tenants
+        assert active.configuration.revision == whole.revision == number
+        assert active.tenants.required == (whole.tenants is not None)
+        assert lookups(active) == lookups(ActiveConfiguration(whole))
--- a/tests/controlplane/calls.py
+++ b/tests/controlplane/calls.py
@@ -14,6 +14,10 @@
     return message(b"POST", b"/config/replace", b"X-Iristrack-Base-Version: %b\r\n" % base.encode(), body)
 
 
+def amend_call(body: bytes, base: str = "0") -> http.Message:
+    return message(b"POST", b"/config/amend", b"X-Iristrack-Base-Version: %b\r\n" % base.encode(), body)
+
+
 def version_call(body: object) -> http.Message:
     return message(
         b"POST", b"/version-put", b"", body if isinstance(body, bytes) else json.dumps(body).encode()
--- a/tests/controlplane/test_changes.py
+++ b/tests/controlplane/test_changes.py
@@ -6,14 +6,17 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from iristrack.configuration.amendment import read_amendment
 from iristrack.configuration.document import parse_configuration
 from iristrack.configuration.model import Configuration
 from iristrack.controlplane.changes import (
     BASE_DIFFERS,
     BASE_FORGOTTEN,
     HELD,
+    INVALID,
     MOST_TAKEN,
     NOT_HIGHER,
+    AmendConfiguration,
     claim_duty,
     name_version,
     replace_configuration,
@@ -42,6 +45,82 @@
     return decode_value(value, ConfigurationValue)
 
 
+# ---- amendments
+
+MOST_BODY = 10_000
+
+
+def amendment_body(revision: int, *labels: str, remove: tuple[str, ...] = ()) -> bytes:
+    services = [{"label": label} for label in labels]
+    document = {"revision": revision, "upsert": {"services": services}, "remove": {"services": list(remove)}}
+    return json.dumps(document).encode()
+
+
+def amending(body: bytes, base: int, most_body: int = MOST_BODY) -> AmendConfiguration:
+    return AmendConfiguration(read_amendment(body).ok, body, base, most_body)
+
+
+def amend(value: bytes, revision: int, base: int, *labels: str, remove: tuple[str, ...] = ()):
+    return amending(amendment_body(revision, *labels, remove=remove), base)(value)
+
+
+def services(value: bytes) -> list[str]:
+    return [row["label"] for row in json.loads(decoded(value).body)["services"]]
+
+
+def test_an_amendment_alters_what_it_names_and_is_kept_beside_the_whole() -> None:
+    value = amend(replace(b"", 5, 0), 9, 5, "extra")
+    assert services(value) == ["pool", "extra"]
+    current = decoded(value)
+    assert (current.sequence, current.revision) == (2, 9)
+    assert json.loads(current.body)["revision"] == 9
+    assert current.amendment == amendment_body(9, "extra")
+    assert decoded(replace(value, 12, 9)).amendment == b""
+
+
+def test_an_amendment_is_refused_and_known_again_on_the_terms_of_a_replacement() -> None:
+    first = replace(b"", 5, 0)
+    taken = amend(first, 9, 5, "extra")
+    assert amend(taken, 9, 5, "extra") == Unchanged()
+    assert amend(replace(taken, 12, 9), 9, 5, "extra") == Unchanged()
+    assert amend(taken, 9, 5, "other") == Refuse(BASE_DIFFERS)
+    assert amend(taken, 12, 5, "extra") == Refuse(BASE_DIFFERS)
+    assert amend(taken, 9, 9, "other") == Refuse(NOT_HIGHER)
+    assert amend(taken, 8, 9, "other") == Refuse(NOT_HIGHER)
+
+
+def test_of_an_amendment_and_a_replacement_with_one_number_one_is_taken() -> None:
+    first = replace(b"", 5, 0)
+    assert amend(replace(first, 9, 5, "other"), 9, 5, "extra") == Refuse(BASE_DIFFERS)
+    assert replace(amend(first, 9, 5, "extra"), 9, 5, "other") == Refuse(BASE_DIFFERS)
+
+
+def test_nothing_can_be_amended_before_the_first_configuration() -> None:
+    change = amending(amendment_body(3, "extra"), 0)
+    assert change(b"") == Refuse(INVALID)
+    assert [finding.place for finding in change.findings] == ["X-Iristrack-Base-Version"]
+
+
+def test_an_amendment_whose_result_is_invalid_tells_what_is_wrong_with_it() -> None:
+    route = {
+        "label": "r", "hostname": "a.example", "path_prefix": "/a/", "route_kind": "safe", "timeout_ms": 1,
+        "target_latency_ms": 1, "target": "pool",
+    }  # fmt: skip
+    whole = {"revision": 5, "route_table": [route], "services": [{"label": "pool"}]}
+    content = json.dumps(whole).encode()
+    value = replace_configuration(parse_configuration(content), content, 0)(b"")
+    change = amending(amendment_body(9, remove=("pool",)), 5)
+    assert change(value) == Refuse(INVALID)
+    assert [finding.place for finding in change.findings] == ["route_table[0].target"]
+
+
+def test_an_amendment_cannot_make_a_configuration_longer_than_it_may_be() -> None:
+    value = replace(b"", 5, 0)
+    grown = amendment_body(9, "x" * 500)
+    assert amending(grown, 5, most_body=400)(value) == Refuse(INVALID)
+    assert isinstance(amending(grown, 5)(value), bytes)
+
+
 # ---- configurations
 
 
--- a/tests/controlplane/test_distribution.py
+++ b/tests/controlplane/test_distribution.py
@@ -1,12 +1,22 @@
 from __future__ import annotations
 
+import random
+
 from hypothesis import given
 from hypothesis import strategies as st
 
-from iristrack.controlplane.distribution import MOST_AHEAD, Distribution
+from iristrack.controlplane.distribution import MOST_AHEAD, MOST_AMENDMENTS, Distribution
 from iristrack.relay import topics
 from iristrack.relay.topics import TopicTable
-from iristrack.wire.messages import Heartbeat, Subscribe, Update, Version
+from iristrack.wire.messages import (
+    ConfigurationAmendment,
+    ConfigurationValue,
+    Heartbeat,
+    Subscribe,
+    Update,
+    Version,
+)
+from iristrack.wire.values import encode_value
 from tests.controlplane.peers import Peer, announcement
 
 
@@ -196,3 +206,63 @@
     distribution.subscribe(peer, Subscribe(table.versions()))
     receive(peer, lost=False)
     assert {version.topic: version.sequence for version in table.versions()} == newest
+
+
+# ---- amendments
+
+
+def configured(sequence: int, amendment: bytes = b"", size: int = 500) -> Update:
+    value = ConfigurationValue(
+        sequence, sequence * 10, random.Random(sequence).randbytes(size), (), amendment
+    )
+    return Update(topics.CONFIGURATION, sequence, encode_value(value))
+
+
+def test_who_has_the_one_before_is_sent_the_amendment_alone() -> None:
+    distribution, _ = make()
+    distribution.hear(configured(1))
+    following, pulling, newcomer = Peer(), Peer(), Peer()
+    distribution.subscribe(following, Subscribe(()))
+    distribution.subscribe(pulling, Subscribe((Version(topics.CONFIGURATION, 1),), push=False))
+    following.take()
+    distribution.hear(configured(2, b"two"))
+    distribution.hear(configured(3, b"three"))
+    amendments = [ConfigurationAmendment(2, b"two"), ConfigurationAmendment(3, b"three")]
+    assert following.take() == amendments
+    pulling.take()
+    distribution.subscribe(pulling, Subscribe((Version(topics.CONFIGURATION, 1),), push=False))
+    assert pulling.take() == amendments
+    distribution.subscribe(newcomer, Subscribe(()))
+    assert newcomer.take() == [configured(3, b"three")]
+
+
+def test_who_lacks_one_that_is_no_amendment_is_sent_the_whole() -> None:
+    distribution, _ = make()
+    peer = Peer()
+    distribution.subscribe(peer, Subscribe((Version(topics.CONFIGURATION, 1),)))
+    distribution.hear(configured(3, b"three"))  # the second was never heard of here
+    assert peer.take() == [configured(3, b"three")]
+    distribution.hear(configured(4))
+    assert peer.take() == [configured(4)]
+
+
+def test_amendments_that_are_longer_than_the_whole_are_not_sent() -> None:
+    distribution, _ = make()
+    peer = Peer()
+    distribution.subscribe(peer, Subscribe((Version(topics.CONFIGURATION, 1),)))
+    whole = configured(2, random.Random(7).randbytes(400), size=10)
+    distribution.hear(whole)
+    assert peer.take() == [ConfigurationAmendment(2, random.Random(7).randbytes(400))]
+    again = Peer()
+    distribution.hear(configured(3, random.Random(8).randbytes(400), size=10))
+    distribution.subscribe(again, Subscribe((Version(topics.CONFIGURATION, 1),)))
+    assert again.take() == [configured(3, random.Random(8).randbytes(400), size=10)]
+
+
+def test_the_amendments_that_are_kept_are_bounded() -> None:
+    distribution, _ = make()
+    for sequence in range(1, MOST_AMENDMENTS + 10):
+        distribution.hear(configured(sequence, b"a"))
+    peer = Peer()
+    distribution.subscribe(peer, Subscribe((Version(topics.CONFIGURATION, 2),)))
+    assert peer.take() == [configured(MOST_AMENDMENTS + 9, b"a")]
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -28,7 +28,7 @@
 )
 from iristrack.wire.values import decode_value, encode_value
 from tests.configuration.samples import encode, sample_document
-from tests.controlplane.calls import Log, message, replace_call, version_call
+from tests.controlplane.calls import Log, amend_call, message, replace_call, version_call
 
 MEMBERS = ("core:1", "core:2", "core:3")
 PATIENCE_NS = 10**10
@@ -63,6 +63,7 @@
 
 READ = message(b"GET", b"/config/read")
 REPLACE = replace_call(BODY)
+AMEND = amend_call(b'{"revision": 9, "remove": {"route_table": ["r"]}}', "7")
 NAME = version_call({"model_name": "m", "revision": 2})
 
 
@@ -77,6 +78,16 @@
         (REPLACE, Overtaken(changes.BASE_FORGOTTEN, encode_value(TAKEN)), 503),
         (REPLACE, Unavailable(in_doubt=False), 503),
         (REPLACE, Unavailable(in_doubt=True), 503),
+        (AMEND, Committed(encode_value(TAKEN), NO_BALLOT), 200),
+        (AMEND, Rejected(changes.BASE_DIFFERS, encode_value(TAKEN)), 412),
+        (AMEND, Overtaken(changes.BASE_DIFFERS, encode_value(TAKEN)), 412),
+        (AMEND, Rejected(changes.NOT_HIGHER, encode_value(TAKEN)), 400),
+        (AMEND, Rejected(changes.INVALID, encode_value(TAKEN)), 400),
+        (AMEND, Rejected(changes.BASE_FORGOTTEN, encode_value(TAKEN)), 503),
+        (AMEND, Unavailable(in_doubt=True), 503),
+        (amend_call(b"{", "7"), None, 400),
+        (amend_call(b'{"revision": 9}', "x"), None, 400),
+        (amend_call(b'{"revision": 9, "upsert": {"routes": []}}', "7"), None, 400),
         (READ, Committed(encode_value(TAKEN), NO_BALLOT), 200),
         (READ, Committed(b"", NO_BALLOT), 404),
         (READ, Unavailable(in_doubt=False), 503),
@@ -94,7 +105,7 @@
     assert (b"Retry-After" in response.lines) == (status == 503)
 
 
-@pytest.mark.parametrize("call", [READ, REPLACE, NAME])
+@pytest.mark.parametrize("call", [READ, REPLACE, AMEND, NAME])
 def test_without_a_quorum_lately_no_register_is_asked_and_there_is_no_clear_answer(call) -> None:
     def change(key, change, deadline):
         raise AssertionError("the register was asked")
--- a/tests/dataplane/test_control_link.py
+++ b/tests/dataplane/test_control_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 
 import pytest
 
@@ -14,14 +15,18 @@
 from iristrack.runtime.scheduler import clock
 from iristrack.wire.messages import (
     BusyServers,
+    ConfigurationAmendment,
     ConfigurationValue,
     Hello,
     InstanceRevision,
+    KeyLeaseGrant,
+    KeyLeaseRequest,
     ModelRevision,
     ServerLoad,
     ServerLoads,
     Subscribe,
     Update,
+    Version,
     VersionsValue,
 )
 from iristrack.wire.values import encode_value
@@ -188,3 +193,71 @@
     meet(linked, "zone")
     linked.link._on_message(stranger, ServerLoads("core", 1, (ServerLoad("i-0", 4, 7),)))
     assert stand.known("i-0").load == 0
+
+
+# ---- amendments and the lease of keys
+
+
+def amended(sequence: int, revision: int, path: str) -> ConfigurationAmendment:
+    row = document()["route_table"][0] | {"label": path, "path_prefix": path}
+    body = json.dumps({"revision": revision, "upsert": {"route_table": [row]}}).encode()
+    return ConfigurationAmendment(sequence, body)
+
+
+def serves(linked: Linked, path: str) -> bool:
+    host = linked.plane.active.configuration.routes[0].hostname
+    return linked.plane.active.routes.match(host, path) is not None
+
+
+def test_an_amendment_takes_the_place_of_the_one_before_and_of_no_other(linked: Linked) -> None:
+    linked.link._on_message(linked.core, amended(2, 5, "/early/"))
+    linked.configure(2, 20)
+    linked.link._on_message(linked.core, amended(2, 19, "/old/"))
+    linked.link._on_message(linked.core, amended(4, 40, "/gap/"))
+    assert linked.plane.active.configuration.revision == 20
+    linked.link._on_message(linked.core, amended(3, 30, "/next/"))
+    assert linked.plane.active.configuration.revision == 30
+    assert [serves(linked, p) for p in ("/next/", "/old/", "/gap/", "/early/")] == [True, False, False, False]
+    assert Version(topics.CONFIGURATION, 3) in linked.link.topics.versions()
+    linked.configure(4, 41)
+    assert linked.plane.active.configuration.revision == 41
+
+
+def test_after_a_configuration_that_cannot_be_read_no_amendment_is_built_on_the_one_before(
+    linked: Linked,
+) -> None:
+    linked.configure(2, 20)
+    linked.link._on_message(linked.core, Update(topics.CONFIGURATION, 3, b"no frame"))
+    linked.link._on_message(linked.core, amended(4, 40, "/next/"))
+    assert linked.plane.active.configuration.revision == 20
+
+
+def leased(stand: Stand) -> Linked:
+    bounds = replace(stand.plane.settings.rule_bounds, revoke_global=True, revoke_ms=5_000)
+    stand.plane.settings = replace(stand.plane.settings, rule_bounds=bounds)
+    return Linked(stand)
+
+
+def lease_requests(peer: Peer) -> list[KeyLeaseRequest]:
+    return [message for message in peer.take() if isinstance(message, KeyLeaseRequest)]
+
+
+def test_the_lease_of_keys_is_asked_of_the_hub_and_then_of_all(stand: Stand) -> None:
+    linked = leased(stand)
+    first, second = meet(linked, stand.plane.settings.zone), meet(linked, "elsewhere")
+    (request,) = lease_requests(first)
+    assert lease_requests(second) == []
+    linked.link._ask_for_key_lease()
+    assert lease_requests(first)
+    assert lease_requests(second)
+    assert not stand.plane.key_lease.holds(clock())
+    linked.configure(7, 70)
+    linked.link._on_message(first, KeyLeaseGrant(request.number, 7))
+    assert stand.plane.key_lease.holds(clock())
+
+
+def test_no_lease_is_asked_for_where_none_is_needed(linked: Linked) -> None:
+    peer = meet(linked, linked.plane.settings.zone)
+    linked.link._ask_for_key_lease()
+    assert lease_requests(peer) == []
+    assert linked.plane.key_lease.holds(clock())
--- /dev/null
+++ b/tests/register/test_newest_read.py
@@ -0,0 +1,44 @@
+"""A question to a majority: whose answers count, and that no acknowledged sequence is missed."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from iristrack.register.newest_read import NewestRead
+from iristrack.wire.messages import MembersValue, NewestAnswer
+
+MEMBERS = MembersValue(4, ("a:1", "b:1", "c:1", "d:1", "e:1"))
+
+
+def answer(acceptor: str, sequence: int, call: int = 7, members: int = 4) -> NewestAnswer:
+    return NewestAnswer(call, acceptor, members, sequence)
+
+
+def test_the_highest_answer_of_a_majority_counts() -> None:
+    read = NewestRead(7, MEMBERS)
+    assert read.answered(answer("a:1", 3)) is None
+    assert read.answered(answer("b:1", 5)) is None
+    assert read.answered(answer("c:1", 3)) == 5
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [answer("z:1", 9), answer("b:1", 9, call=6), answer("b:1", 9, members=3), answer("a:1", 3)],
+    ids=["no member", "another question", "another member set", "the same one again"],
+)
+def test_other_answers_do_not_count(odd: NewestAnswer) -> None:
+    read = NewestRead(7, MEMBERS)
+    read.answered(answer("a:1", 3))
+    assert read.answered(odd) is None
+    assert read.answered(answer("d:1", 3)) is None
+    assert read.answered(answer("e:1", 4)) == 4
+
+
+def test_no_majority_misses_what_another_majority_has_accepted() -> None:
+    for accepting in itertools.combinations(MEMBERS.members, 3):
+        for answering in itertools.permutations(MEMBERS.members, 3):
+            read = NewestRead(7, MEMBERS)
+            told = [read.answered(answer(name, 8 if name in accepting else 2)) for name in answering]
+            assert told[-1] == 8
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -11,7 +11,7 @@
 
 from iristrack.standin.client import ask_once
 from iristrack.standin.documents import Document, route, tenant
-from iristrack.standin.operator import Answer, Operator, call_once, replace_call
+from iristrack.standin.operator import Answer, Operator, amend_call, call_once, replace_call
 from iristrack.standin.system import System
 from iristrack.standin.waiting import wait_until
 from tests.system.conftest import close
@@ -196,7 +196,7 @@
 
 def test_the_same_content_again_is_acknowledged_by_every_member(editor: Editor) -> None:
     base = editor.revision
-    document = editor.proposal(adding("/repeated/"))
+    document = editor.proposal(adding("/known-again/"))
     editor.commit(document)
     for core in editor.system.cores:
         assert editor.operator.replace(document, base, first=core.control).status == 200
@@ -333,3 +333,79 @@
     answer = call_once(editor.system.cores[0].control, call)
     assert 400 <= answer.status < 500
     assert answer.json["findings"]
+
+
+# ---- amendments
+
+
+def amend(editor: Editor, *paths: str, remove: tuple[str, ...] = ()) -> Document:
+    """An amendment on top of the current configuration that adds routes and removes others."""
+    routes = [route(HOST, path, CHAT) | {"label": path} for path in paths]
+    document = {"revision": editor.revision + 3}
+    return document | {"upsert": {"route_table": routes}, "remove": {"route_table": list(remove)}}
+
+
+def test_an_amendment_comes_into_force_and_is_read_back_as_a_whole(editor: Editor) -> None:
+    editor.commit(editor.proposal(adding("/stands/")))
+    first = amend(editor, "/amended-a/", "/amended-b/")
+    assert editor.operator.amend(first, editor.revision).status == 200
+    editor.wait_in_force("/amended-b/x")
+    assert set(editor.statuses("/stands/x")) == {200}
+    whole = editor.operator.read().json
+    labels = [row["label"] for row in editor.document["route_table"]]
+    assert [row["label"] for row in whole["route_table"]] == [*labels, "/amended-a/", "/amended-b/"]
+    assert whole == editor.document | {"revision": first["revision"], "route_table": whole["route_table"]}
+    editor.document = whole
+    second = amend(editor, "/amended-c/", remove=("/amended-a/",))
+    assert editor.operator.amend(second, editor.revision).status == 200
+    editor.wait_in_force("/amended-c/x")
+    assert set(editor.statuses("/amended-a/x")) == {404}
+    editor.document = editor.operator.read().json
+
+
+def test_an_amendment_is_known_again_at_every_machine_and_refused_on_an_old_base(editor: Editor) -> None:
+    base = editor.revision
+    document = amend(editor, "/known-again/")
+    assert editor.operator.amend(document, base).status == 200
+    for core in editor.system.cores:
+        assert call_once(core.control, amend_call(document, base)).status == 200
+        assert call_once(core.control, amend_call(document | {"revision": base + 9}, base)).status == 412
+    editor.document = editor.operator.read().json
+
+
+def test_an_amendment_that_would_make_an_invalid_configuration_is_refused(editor: Editor) -> None:
+    base = editor.revision
+    removal = {"revision": base + 3, "remove": {"services": [CHAT]}}
+    for core in editor.system.cores:
+        answer = call_once(core.control, amend_call(removal, base))
+        assert answer.status == 400
+        assert "route_table[0].target" in [finding["place"] for finding in answer.json["findings"]]
+    assert editor.operator.read().json["revision"] == base
+
+
+def test_of_an_amendment_and_a_replacement_on_one_base_one_is_taken(editor: Editor) -> None:
+    for race in range(RACES):
+        base = editor.revision
+        amendment = amend(editor, f"/race-amended-{race}/")
+        whole = editor.proposal(adding(f"/race-whole-{race}/"))
+        assert whole["revision"] == amendment["revision"]
+        calls = [amend_call(amendment, base), replace_call(whole, base)]
+        statuses: list[int] = [0, 0]
+
+        def send(number: int, calls: list = calls, statuses: list[int] = statuses) -> None:
+            first = editor.system.cores[number].control
+            statuses[number] = (
+                Operator([c.control for c in editor.system.cores]).call(calls[number], first).status
+            )
+
+        threads = [threading.Thread(target=send, args=(number,)) for number in range(2)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert sorted(statuses) == [200, 412]
+        editor.document = editor.operator.read().json
+        taken = f"/race-amended-{race}/x" if statuses[0] == 200 else f"/race-whole-{race}/x"
+        lost = f"/race-whole-{race}/x" if statuses[0] == 200 else f"/race-amended-{race}/x"
+        editor.wait_in_force(taken)
+        assert set(editor.statuses(lost)) == {404}
