Give the amended route of a test a path of its own

Cause: it had the path of another test's route, so the amendment was refused with a repeated prefix, rightly.

--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -365,7 +365,7 @@
 
 def test_an_amendment_is_known_again_at_every_machine_and_refused_on_an_old_base(editor: Editor) -> None:
     base = editor.revision
-    document = amend(editor, "/known-again/")
+    document = amend(editor, "/amended-again/")
     assert editor.operator.amend(document, base).status == 200
     for core in editor.system.cores:
         assert call_once(core.control, amend_call(document, base)).status == 200
