--- a/iristrack/cli/lab.py
+++ b/iristrack/cli/lab.py
@@ -48,6 +48,10 @@
     )
     fleet.add_argument("folder", type=Path, help="where the logs are (*.log, one a sidecar)")
     fleet.add_argument("--every", type=int, default=1, help="seconds a row (default 1)")
+    account = parts.add_parser("account", help="where the worth of a played day was lost")
+    account.add_argument("report", type=Path, help="a report of the bench (JSON)")
+    account.add_argument("--log", type=Path, help="what the processes wrote, for the reasons of late answers")
+    account.add_argument("--plot", type=Path, help="draw the day by second into this file (.png or .svg)")
     lab.set_defaults(call=main)
 
 
@@ -59,7 +63,14 @@
     except ModuleNotFoundError as fault:
         print(f"iristrack: lab needs {fault.name}: pip install -r requirements-lab.txt", file=sys.stderr)
         return 2
-    calls = {"run": _run, "compare": _compare, "replay": _replay, "list": _list, "fleet": _fleet}
+    calls = {
+        "run": _run,
+        "compare": _compare,
+        "replay": _replay,
+        "list": _list,
+        "fleet": _fleet,
+        "account": _account,
+    }
     try:
         return calls[chosen.lab](chosen)
     except (ScenarioError, FolderError) as fault:
@@ -70,6 +81,23 @@
         return 130
 
 
+def _account(chosen: argparse.Namespace) -> int:
+    from iristrack.lab import account
+
+    try:
+        told = account.read_account(chosen.report, chosen.log)
+        print("\n".join(account.table(told)))
+        if chosen.plot is not None:
+            account.plot(told, chosen.plot)
+    except account.AccountError as fault:
+        print(f"iristrack: {fault}", file=sys.stderr)
+        return 2
+    except (OSError, ValueError) as fault:  # a folder that is not there, a kind of file that cannot be drawn
+        print(f"iristrack: {chosen.plot}: cannot be drawn: {fault}", file=sys.stderr)
+        return 2
+    return 0
+
+
 def _run(chosen: argparse.Namespace) -> int:
     from msgspec.structs import replace
     from rich.console import Console
--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -15,6 +15,7 @@
 from iristrack.dataplane.client_answer import ClientAnswer
 from iristrack.dataplane.clients import ClientConnection, ClientLeft
 from iristrack.dataplane.events import EventSplitter, EventTooLarge
+from iristrack.dataplane.lateness import Lateness
 from iristrack.dataplane.prompt_parts import CacheUse, PromptParts
 from iristrack.dataplane.requests import ClientRequest, Rejected, read_request, wait_ms
 from iristrack.dataplane.state import PlaneState
@@ -53,6 +54,7 @@
         self.last_event_id = request.last_event_id
         self.service = self._draw_service()
         self.prompt = PromptParts(plane, request, self.service)
+        self.lateness = Lateness(request.arrived, clock())
         self._unread: int = 0  # pieces that the attempt's server still has to read
 
     def _draw_service(self) -> str:
@@ -85,6 +87,7 @@
                 return
             if self._try(server):
                 self.plane.counters.served += 1
+                self.plane.late.count(self.lateness.reason(self.request.route))
                 return
 
     def _next_server(self) -> Server | None:
@@ -155,6 +158,8 @@
         cache = self.prompt.cache_use(server)
         began = clock()
         self._unread = pieces_to_read(self.prompt.at(server))
+        fetches = cache is not None and cache.fetch_from is not None
+        self.lateness.sent(began, self._unread, server.load, fetches)
         server.began(self._unread)
         self.prompt.begin_read(server)
         try:
@@ -270,6 +275,7 @@
                 self._pass_long(attempt, bytes(body), pieces)
                 return
         head = attempt.head
+        self.lateness.passed_on(clock())
         attempt.finish()
         if self.answer.begun:  # a stream that went on elsewhere and failed there
             self.answer.break_off()
@@ -303,6 +309,7 @@
             if first and not self.answer.begun:
                 self.answer.begin(attempt.head)
             first = False
+            self.lateness.passed_on(clock())
             self.answer.piece(data)
             self.last_event_id = next(
                 (e.id for e in reversed(events) if e.id is not None), self.last_event_id
--- a/iristrack/dataplane/program.py
+++ b/iristrack/dataplane/program.py
@@ -161,6 +161,7 @@
             "clients": len(self.listener.connections),
             "server_connections": self.plane.links.open,
             "index_entries": self.plane.index.entries,
+            **self.plane.late.figures(),
             "worst_turn_us": self.scheduler.worst_turn_ns // 1000,
         }
 
--- a/iristrack/dataplane/state.py
+++ b/iristrack/dataplane/state.py
@@ -13,6 +13,7 @@
 from iristrack.configuration.model import Configuration, Route, Service, Tenant
 from iristrack.configuration.routes import RouteTable
 from iristrack.configuration.tenants import TenantTable
+from iristrack.dataplane.lateness import LateCounts
 from iristrack.dataplane.start_gate import StartGate
 from iristrack.net.links import Links
 from iristrack.placement.servers import ServerTable
@@ -102,6 +103,7 @@
     versions: dict[str, ModelVersion] = field(default_factory=dict)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     counters: Counters = field(default_factory=Counters)
+    late: LateCounts = field(default_factory=LateCounts)
     key_lease: KeyLease = field(default_factory=lambda: KeyLease(None))
     sidecars: int = SIDECARS_ASSUMED
     draining: bool = False
