--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -73,7 +73,7 @@
         return _WORD_START.sub("_", self.message_type.__name__).lower()
 
 
-KINDS = (  # a number is never used again
+KINDS = (  # a number is never used again; 9 was a view of the members
     MessageKind(1, messages.Hello),
     MessageKind(2, messages.Prepare, version=2),
     MessageKind(3, messages.Promise, version=2),
@@ -82,7 +82,6 @@
     MessageKind(6, messages.Subscribe, version=2),
     MessageKind(7, messages.Update),
     MessageKind(8, messages.Heartbeat, version=2),
-    MessageKind(9, messages.View),
     MessageKind(10, messages.ConfigurationValue, version=2),
     MessageKind(11, messages.VersionsValue),
     MessageKind(12, messages.DutyValue),
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -121,27 +121,6 @@
     in_quorum: bool = True  # does a core member reach a quorum of the member set? True from all others
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
-    """One process as the watchers know it."""
-
-    node: str
-    role: str
-    process: str
-    zone: str
-    region: str
-    address: str
-    alive: bool
-    count: int  # raised by whoever changes `alive`; the higher one stands
-
-
-@dataclass(frozen=True, slots=True)
-class View:
-    """What the sender knows of the members."""
-
-    members: tuple[Member, ...] = ()
-
-
 @dataclass(frozen=True, slots=True)
 class TakenRevision:
     """A configuration that was taken, by its number and the digest of its bytes."""
@@ -343,7 +322,6 @@
     | Subscribe
     | Update
     | Heartbeat
-    | View
     | ConfigurationValue
     | VersionsValue
     | DutyValue
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -103,7 +103,7 @@
 
 def test_a_kind_is_registered_once() -> None:
     with pytest.raises(ValueError, match="twice"):
-        Registry([MessageKind(1, messages.Hello), MessageKind(1, messages.View)])
+        Registry([MessageKind(1, messages.Hello), MessageKind(1, messages.KeptBatch)])
 
 
 @pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.schema_name)
@@ -154,7 +154,7 @@
     with pytest.raises(FrameTooLarge):
         reader.feed(struct.pack(">I", MOST_FRAME_BYTES - 4 + 1))
     with pytest.raises(FrameTooLarge):
-        reader.feed(encode(messages.View()))
+        reader.feed(encode(messages.KeptBatch()))
     assert FrameReader().feed(struct.pack(">I", MOST_FRAME_BYTES - 4)) == []
 
 
@@ -179,7 +179,7 @@
     packed = zlib.compress(b"\x02t\x06\x06abc")
     for spoilt in (body, packed[:-1], packed + b"x", b"no zlib"):
         reader = FrameReader()
-        assert reader.feed(framed(7, 1 | COMPRESSED, spoilt) + encode(messages.View())) == [messages.View()]
+        assert reader.feed(framed(7, 1 | COMPRESSED, spoilt) + encode(messages.KeptBatch())) == [messages.KeptBatch()]
         assert reader.skipped == 1
     assert FrameReader().feed(framed(7, 1 | COMPRESSED, packed)) == [messages.Update("t", 3, b"abc")]
 
@@ -202,13 +202,13 @@
         framed(8, 2, encode(messages.Heartbeat("n", "p", 1))[8:] + b"\0"),
         framed(8, 2, encode(messages.Heartbeat("n", "p", 1))[8:-1]),
         framed(7, 1, b"\x02\xff\x02\x00"),  # no UTF-8
-        framed(9, 1, b"\xfe\xff\xff\xff\xff\xff\xff\xff\xff\x01"),  # 2 ** 62 members
-        framed(9, 1, b""),
+        framed(17, 1, b"\xfe\xff\xff\xff\xff\xff\xff\xff\xff\x01"),  # 2 ** 62 entries
+        framed(17, 1, b""),
     ],
     ids=["unknown kind", "version 0", "left over", "cut", "no text", "huge array", "empty"],
 )
 def test_a_frame_that_says_nothing_is_skipped_counted_and_costs_no_other(frame: bytes) -> None:
-    before, after = messages.View(), messages.Hello("n", "dataplane", "p", "z", "r", "127.0.0.1:1")
+    before, after = messages.KeptBatch(), messages.Hello("n", "dataplane", "p", "z", "r", "127.0.0.1:1")
     reader = FrameReader()
     assert reader.feed(encode(before) + frame + encode(after)) == [before, after]
     assert reader.skipped == 1
@@ -228,8 +228,8 @@
     if len(frame) > 8:
         frame[data.draw(st.integers(8, len(frame) - 1))] = data.draw(st.integers(0, 255))
     reader = FrameReader()
-    received = reader.feed(bytes(frame) + encode(messages.View()))
-    assert received[-1] == messages.View() and len(received) + reader.skipped == 2
+    received = reader.feed(bytes(frame) + encode(messages.KeptBatch()))
+    assert received[-1] == messages.KeptBatch() and len(received) + reader.skipped == 2
 
 
 @given(st.lists(st.binary(max_size=60), max_size=8))
