--- a/iristrack/configuration/document.py
+++ b/iristrack/configuration/document.py
@@ -8,10 +8,11 @@
 from typing import Any
 
 from iristrack.configuration.building import build_configuration, parse_configuration
-from iristrack.configuration.findings import WHOLE_DOCUMENT, Finding, schema_findings
+from iristrack.configuration.findings import WHOLE_DOCUMENT, Finding
 from iristrack.configuration.model import Configuration
 from iristrack.configuration.routes import normalise_host
 from iristrack.configuration.rows import Row, route_findings, tenant_findings
+from iristrack.configuration.schema_check import schema_findings
 from iristrack.result import Error, Ok, Result
 
 __all__ = ["Finding", "check_successor", "parse_configuration", "read_configuration"]
--- a/iristrack/settings.py
+++ b/iristrack/settings.py
@@ -13,7 +13,8 @@
 from types import MappingProxyType
 from typing import Any
 
-from iristrack.configuration.findings import WHOLE_DOCUMENT, Finding, schema_findings
+from iristrack.configuration.findings import WHOLE_DOCUMENT, Finding
+from iristrack.configuration.schema_check import schema_findings
 from iristrack.result import Error, Ok, Result
 
 SETTINGS_VARIABLE = "IRISTRACK_CONFIG"
--- /dev/null
+++ b/tests/configuration/test_schema_check.py
@@ -0,0 +1,89 @@
+"""The quick look at documents: what it allows cerberus allows, and sound documents need no cerberus."""
+
+from __future__ import annotations
+
+import copy
+import json
+import subprocess
+import sys
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from iristrack import settings
+from iristrack.configuration import document as configuration
+from iristrack.configuration.cerberus_check import cerberus_findings
+from iristrack.configuration.schema_check import is_plainly_valid, schema_findings
+from tests.configuration.samples import sample_document
+
+SETTINGS = {
+    "node_name": "n", "role": "r", "ip": "10.0.0.1", "zone": "z", "port_range": [7, 9], "seed_nodes": ["10.0.0.2:80"],
+    "bind": {"front_http": "10.0.0.1:80", "readiness": None}, "limits": {"max_fds": 5, "memory_mb": None},
+    "zones": {"z": "r"}, "rule_bounds": {"grace_s": 8, "revoke_global": True}, "bootstrap": True, "data_dir": None,
+    "provider_api": {"address": "10.0.0.3:80", "rate_per_s": 4.0}, "active_rules": ["base"],
+}  # fmt: skip
+ODD = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-3, 3)
+    | st.floats()
+    | st.sampled_from(["", "text", "10.0.0.1:80", "10.0.0.1:0", ":80", "a:99999"]),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.sampled_from(["a", "label"]), inner, max_size=2)
+    ),
+    max_leaves=4,
+)
+
+
+def places(value: object, path: tuple = ()) -> list[tuple]:
+    found = [path] if path else []
+    items = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    for key, inner in items:
+        found += places(inner, (*path, key))
+    return found
+
+
+def changed(document: dict, path: tuple, value: object, drop: bool) -> dict:
+    copied = copy.deepcopy(document)
+    holder = copied
+    for step in path[:-1]:
+        holder = holder[step]
+    if drop:
+        del holder[path[-1]]
+    else:
+        holder[path[-1]] = value
+    return copied
+
+
+@given(data=st.data(), value=ODD, drop=st.booleans())
+def test_what_is_plainly_valid_has_no_findings(data: st.DataObject, value: object, drop: bool) -> None:
+    schema, document = data.draw(
+        st.sampled_from([(settings._SCHEMA, SETTINGS), (configuration._OUTLINE, sample_document())])
+    )
+    odd = changed(document, data.draw(st.sampled_from(places(document))), value, drop)
+    findings = cerberus_findings(schema, odd)
+    if is_plainly_valid(schema, odd):
+        assert findings == ()
+    assert schema_findings(schema, odd) == findings
+
+
+def test_sound_documents_are_plainly_valid() -> None:
+    assert is_plainly_valid(settings._SCHEMA, SETTINGS)
+    assert is_plainly_valid(configuration._OUTLINE, sample_document())
+
+
+def test_a_rule_that_the_quick_look_does_not_know_is_left_to_cerberus() -> None:
+    schema = {"name": {"type": "string", "allowed": ["a"]}}
+    assert not is_plainly_valid(schema, {"name": "a"})
+    assert not is_plainly_valid(schema, {})
+    assert schema_findings(schema, {"name": "a"}) == ()
+    assert [finding.place for finding in schema_findings(schema, {"name": "b"})] == ["name"]
+
+
+def test_a_data_plane_with_sound_settings_does_not_load_cerberus() -> None:
+    program = (
+        "import sys; from iristrack.settings import read_settings; import iristrack.cli.dataplane\n"
+        f"assert read_settings({json.dumps(SETTINGS).encode()!r}).is_ok()\n"
+        "sys.exit('cerberus' in sys.modules)"
+    )
+    assert subprocess.run([sys.executable, "-c", program], check=False).returncode == 0
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -179,7 +179,9 @@
     packed = zlib.compress(b"\x02t\x06\x06abc")
     for spoilt in (body, packed[:-1], packed + b"x", b"no zlib"):
         reader = FrameReader()
-        assert reader.feed(framed(7, 1 | COMPRESSED, spoilt) + encode(messages.KeptBatch())) == [messages.KeptBatch()]
+        assert reader.feed(framed(7, 1 | COMPRESSED, spoilt) + encode(messages.KeptBatch())) == [
+            messages.KeptBatch()
+        ]
         assert reader.skipped == 1
     assert FrameReader().feed(framed(7, 1 | COMPRESSED, packed)) == [messages.Update("t", 3, b"abc")]
 
