Have one core member send what a new connection lacks, not each of them

Cause: a sidecar dials every core member and asked each for all that it lacked: five copies of a configuration of 80 KB (compressed) cross zones and the edge's 5 to 10 Mbit/s link at a start, when requests wait for the first.

--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -124,9 +124,9 @@
         return min(LONGEST_HEARTBEAT_NS, HEARTBEAT_NS * (1 + self.plane.sidecars // SIDECARS_PER_HEARTBEAT))
 
     def _subscribe(self, connection: PeerConnection) -> None:
-        """Have the hub push what changes; the others send what is missed now, and later what is asked for."""
+        """Have the hub push what is missed and what changes; the others announce it, and send what is asked for."""
         push = connection is self.core.choose_hub()
-        connection.send(Subscribe(self.topics.versions(), push))
+        connection.send(Subscribe(self.topics.versions(), push, catch_up=push))
 
     def _choose_hub(self) -> None:
         hub = self.core.choose_hub()
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -79,7 +79,7 @@
     MessageKind(3, messages.Promise, version=2),
     MessageKind(4, messages.Accept, version=2),
     MessageKind(5, messages.Accepted, version=2),
-    MessageKind(6, messages.Subscribe, version=2),
+    MessageKind(6, messages.Subscribe, version=3),
     MessageKind(7, messages.Update),
     MessageKind(8, messages.Heartbeat, version=2),
     MessageKind(10, messages.ConfigurationValue, version=2),
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -95,10 +95,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Subscribe:
-    """Ask for all topics; `known` spares what is there already. Each message takes the place of the one before."""
+    """Ask for topics; `known` spares what is there already. Each message takes the place of the one before."""
 
     known: tuple[Version, ...] = ()
-    push: bool = True  # also whenever they change; otherwise only what a heartbeat shows to be missed
+    push: bool = True  # also whenever they change; otherwise changes are announced
+    catch_up: bool = True  # what is missed by `known` is sent now
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/controlplane/test_distribution.py
+++ b/tests/controlplane/test_distribution.py
@@ -69,6 +69,19 @@
     assert peer.take() == [update("a", 1)]
 
 
+def test_a_subscriber_that_wants_no_catch_up_is_told_of_changes_alone() -> None:
+    """Each sidecar is connected with every member; the whole of every topic from each is a copy too many."""
+    distribution, _ = make()
+    distribution.publish(update(topics.CONFIGURATION, 1))
+    peer = Peer()
+    distribution.subscribe(peer, Subscribe((), push=False, catch_up=False))
+    assert peer.take() == []
+    distribution.hear(update(topics.CONFIGURATION, 2))
+    assert peer.take() == [heartbeat(Version(topics.CONFIGURATION, 2))]
+    distribution.subscribe(peer, Subscribe((), push=False))
+    assert peer.take() == [update(topics.CONFIGURATION, 2)]
+
+
 def test_a_later_subscription_takes_the_place_of_the_earlier() -> None:
     distribution, _ = make()
     peer = Peer()
