Prepare a server for new weights only once its order can follow

Change: prepared and ordered servers together are at most AT_ONCE_SHARE. Two tests stated the old order and state the new one; the property test's bound is tighter.

--- a/iristrack/engines/roll.py
+++ b/iristrack/engines/roll.py
@@ -1,7 +1,9 @@
 """Which servers take new weights when: a few at a time, so that the others go on serving.
 
 A server that was ordered to take weights turns away what has not begun there until it has them, so it is prepared
-first: long answers go elsewhere for a moment, and little waits there when the order comes.
+first: long answers go elsewhere for a moment, and little waits there when the order comes. A server is prepared only
+once its order can follow: those that are prepared and those that take weights are left alone alike, and together they
+are never more than `AT_ONCE_SHARE`.
 """
 
 from __future__ import annotations
@@ -67,7 +69,7 @@
             del waiting[upgrade.instance_id]
             self.ordered[upgrade.instance_id] = upgrade
         for name in waiting:
-            if len(self.preparing) >= at_once:
+            if len(self.preparing) + len(self.ordered) >= at_once:
                 break
             self.preparing.setdefault(name, now)
         return orders
--- a/tests/engines/test_roll.py
+++ b/tests/engines/test_roll.py
@@ -54,7 +54,7 @@
     assert roll.next_orders(wanted, SERVERS, PREPARE_NS - 1) == []
     assert roll.next_orders(wanted, SERVERS, PREPARE_NS) == wanted[:2]
     assert list(roll.ordered) == ["i-00", "i-01"]
-    assert list(roll.preparing) == ["i-02", "i-03"]
+    assert list(roll.preparing) == []
 
 
 def test_a_roll_is_under_way_from_the_first_preparation_to_the_last_end() -> None:
@@ -68,14 +68,18 @@
     assert not roll.under_way
 
 
-def test_a_prepared_server_waits_for_a_place() -> None:
+def test_a_server_is_prepared_only_once_there_is_a_place_for_it() -> None:
+    """While it is prepared it is left alone, as those that take weights are: before its turn that is for nothing."""
     roll = Roll()
     wanted = upgrades(4)
     roll.next_orders(wanted, SERVERS, 0)
     roll.next_orders(wanted, SERVERS, PREPARE_NS)
     assert roll.next_orders(wanted, SERVERS, 9 * PREPARE_NS) == []
+    assert list(roll.preparing) == []
     roll.ended("i-00")
-    assert roll.next_orders(wanted[1:], SERVERS, 9 * PREPARE_NS) == [wanted[2]]
+    assert roll.next_orders(wanted[1:], SERVERS, 9 * PREPARE_NS) == []
+    assert list(roll.preparing) == ["i-02"]
+    assert roll.next_orders(wanted[1:], SERVERS, 10 * PREPARE_NS) == [wanted[2]]
     assert set(roll.ordered) == {"i-01", "i-02"}
 
 
@@ -146,8 +150,7 @@
             seen.add(order.instance_id)
         prepared_at = {name: prepared_at.get(name, now) for name in roll.preparing}
         assert set(roll.ordered) == set(ending)
-        assert len(roll.ordered) <= at_once
-        assert len(roll.preparing) <= at_once
+        assert len(roll.ordered) + len(roll.preparing) <= at_once
         assert not set(roll.ordered) & set(roll.preparing)
         if not set(wanted) - stubborn and len(seen) == count:
             break
@@ -161,8 +164,9 @@
     roll.next_orders(wanted, 1, 0)
     assert roll.next_orders(wanted, 1, PREPARE_NS) == [wanted[0]]
     roll.given_up("i-00", PREPARE_NS)
+    assert roll.next_orders(wanted, 1, PREPARE_NS) == []
+    assert list(roll.preparing) == ["i-01"]
     assert roll.next_orders(wanted, 1, 2 * PREPARE_NS) == [wanted[1]]
-    assert "i-00" not in roll.preparing
     roll.ended("i-01")
     rested = PREPARE_NS + REST_NS
     roll.next_orders(wanted[:1], 1, rested)
