--- a/iristrack/cli/lab.py
+++ b/iristrack/cli/lab.py
@@ -86,12 +86,14 @@
 
     try:
         told = account.read_account(chosen.report, chosen.log)
-        print("\n".join(account.table(told)))
-        if chosen.plot is not None:
-            account.plot(told, chosen.plot)
     except account.AccountError as fault:
         print(f"iristrack: {fault}", file=sys.stderr)
         return 2
+    print("\n".join(account.table(told)))
+    if chosen.plot is None:
+        return 0
+    try:
+        account.plot(told, chosen.plot)
     except (OSError, ValueError) as fault:  # a folder that is not there, a kind of file that cannot be drawn
         print(f"iristrack: {chosen.plot}: cannot be drawn: {fault}", file=sys.stderr)
         return 2
