--- a/benchmarks/amendment_cost.py
+++ b/benchmarks/amendment_cost.py
@@ -2,8 +2,8 @@
 
     python3 -m benchmarks.amendment_cost --routes 1750
 
-At the core: judging the change and making the value of the register. On the wire: what a sidecar is sent. At the sidecar:
-from the frame to tables in force. Times are medians of processor time over `--runs` changes, in milliseconds.
+At the core: judging the change and making the value of the register. On the wire: what a sidecar is sent. At the
+sidecar: from the frame to tables in force. Times are medians of processor time over `--runs` changes, in milliseconds.
 """
 
 from __future__ import annotations
