--- a/benchmarks/worst_days.py
+++ b/benchmarks/worst_days.py
@@ -165,10 +165,18 @@
     ]
     for trouble in faults:
         trouble["at"] = round(draw.uniform(0.5, most_at), 2)
+    closing = draw.choice(CLOSINGS) if draw.random() < 0.6 else None
+    return day_text(block, name, seed, plan, faults, closing)
+
+
+def day_text(
+    block: list[str], name: str, seed: int, plan: list[Trouble], faults: list[Trouble], closing: str | None
+) -> str:
+    """The text of a day that has the top-level lines of `block` and these entries."""
     kept = [line for line in block if (FIELD.match(line) or [None, ""])[1] not in DRAWN_ANEW]
     lines = ["[[day]]", f'name = "{name}"', f"seed = {seed}", *kept]
-    if draw.random() < 0.6:
-        lines.append(f"closing = {draw.choice(CLOSINGS)}")
+    if closing is not None:
+        lines.append(f"closing = {closing}")
     lines += ["plan = [", *map(_row, plan), "]", "faults = [", *map(_row, faults), "]"]
     return "\n".join(lines) + "\n"
 
