Tell which requests begin on older weights, and how old those are then

Change: each process keeps the moment at which each revision was named (engines/named_weights.py); a line and three figures tell of requests that began on older ones. Nothing is chosen by it yet.

--- a/iristrack/dataplane/attempts.py
+++ b/iristrack/dataplane/attempts.py
@@ -76,6 +76,7 @@
         self.client = client
         self.deadline = deadline
         self.written = False  # may the server have the request?
+        self.sent_at = 0  # ns, when it was written
         self.head: http.Head | None = None
         self._link: Link | None = None
         self._whole: http.Message | None = None  # an answer without a body
@@ -95,6 +96,7 @@
         if not may_send():
             raise SendForbidden
         self.written = True
+        self.sent_at = clock()
         try:
             self._write(request)
         except OSError as fault:
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -235,12 +235,12 @@
         told = decode_value(value, VersionsValue)
         if told is None:
             return
+        now = self.plane.scheduler.now()
         for version in told.versions:
+            self.plane.named_weights.heard(version.model, version.revision, now)
             known = self.plane.versions.get(version.model)
             if known is None or known.revision < version.revision:
-                self.plane.versions[version.model] = ModelVersion(
-                    version.revision, self.plane.scheduler.now()
-                )
+                self.plane.versions[version.model] = ModelVersion(version.revision, now)
                 self.log.info("weights named", model=version.model, revision=version.revision)
 
     def _on_kept(self, batch: KeptBatch) -> None:
--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -16,6 +16,7 @@
 from iristrack.dataplane.clients import ClientConnection, ClientLeft
 from iristrack.dataplane.events import EventSplitter, EventTooLarge
 from iristrack.dataplane.lateness import Lateness
+from iristrack.dataplane.older_weights import Begun
 from iristrack.dataplane.prompt_parts import CacheUse, PromptParts
 from iristrack.dataplane.requests import ClientRequest, Rejected, read_request, wait_ms
 from iristrack.dataplane.state import PlaneState
@@ -224,6 +225,10 @@
             return False
         if said is Verdict.UNKNOWN:
             raise AttemptFailed(f"status {head.status} without a promise or a seal", ran=True)
+        if request.model is not None and cache is not None:
+            self.plane.older_weights.begun(
+                Begun(server.instance_id, request.model, cache.revision, attempt.sent_at, clock())
+            )
         self._learn_revision(server, head)
         if said is Verdict.FAILURE:
             if head.status >= 500:
--- /dev/null
+++ b/iristrack/dataplane/older_weights.py
@@ -0,0 +1,66 @@
+"""What requests began on older weights than were named: figures, and a line of the log."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from iristrack.engines.named_weights import NamedWeights
+
+NS_PER_MS = 1_000_000
+LINE_NS = 1000 * NS_PER_MS  # at most one line in so long
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """A request that a server has begun."""
+
+    instance_id: str
+    model: str
+    revision: int  # of the server's weights, as the request was told to expect them
+    sent_at: int  # ns
+    begun_at: int  # ns, when the answer's head came
+
+
+class OlderWeights:
+    """Counts requests that began on older weights, and how old those were then."""
+
+    def __init__(self, named: NamedWeights, log=None) -> None:
+        """`log` takes the lines; None: there are none."""
+        self.named = named
+        self.log = log
+        self.begun_count = 0
+        self.most_sent_ms = 0  # after a newer revision was named
+        self.most_begun_ms = 0
+        self._next_line_at = 0
+
+    def begun(self, request: Begun) -> None:
+        """A server has begun a request."""
+        superseded_at = self.named.superseded_at(request.model, request.revision)
+        if superseded_at is None:
+            return
+        sent_ms = (request.sent_at - superseded_at) // NS_PER_MS
+        begun_ms = (request.begun_at - superseded_at) // NS_PER_MS
+        if begun_ms < 0:
+            return
+        self.begun_count += 1
+        self.most_sent_ms = max(self.most_sent_ms, sent_ms)
+        self.most_begun_ms = max(self.most_begun_ms, begun_ms)
+        if self.log is not None and request.begun_at >= self._next_line_at:
+            self._next_line_at = request.begun_at + LINE_NS
+            self.log.info(
+                "older weights",
+                server=request.instance_id,
+                model=request.model,
+                revision=request.revision,
+                newest=self.named.newest(request.model),
+                sent_ms=sent_ms,
+                begun_ms=begun_ms,
+            )
+
+    def figures(self) -> dict[str, int]:
+        """For the log and `/metrics`; times in milliseconds after a newer revision was named."""
+        return {
+            "older_weights_begun": self.begun_count,
+            "older_weights_most_sent_ms": self.most_sent_ms,
+            "older_weights_most_begun_ms": self.most_begun_ms,
+        }
--- a/iristrack/dataplane/program.py
+++ b/iristrack/dataplane/program.py
@@ -47,6 +47,7 @@
         links = Links(self.scheduler, SERVER_IDLE_NS, int(most * SERVER_SHARE), whole=0)
         links.connect = connect_to_server
         self.plane = PlaneState(settings, self.scheduler, links, random.Random())
+        self.plane.older_weights.log = log
         self.most_clients = int(most * CLIENT_SHARE)
         self.control: ControlLink | None = None
         self.listener: ClientListener | None = None
@@ -162,6 +163,7 @@
             "server_connections": self.plane.links.open,
             "index_entries": self.plane.index.entries,
             **self.plane.late.figures(),
+            **self.plane.older_weights.figures(),
             "worst_turn_us": self.scheduler.worst_turn_ns // 1000,
         }
 
--- a/iristrack/dataplane/state.py
+++ b/iristrack/dataplane/state.py
@@ -14,7 +14,9 @@
 from iristrack.configuration.routes import RouteTable
 from iristrack.configuration.tenants import TenantTable
 from iristrack.dataplane.lateness import LateCounts
+from iristrack.dataplane.older_weights import OlderWeights
 from iristrack.dataplane.start_gate import StartGate
+from iristrack.engines.named_weights import NamedWeights
 from iristrack.net.links import Links
 from iristrack.placement.servers import ServerTable
 from iristrack.prefix_index.index import PrefixIndex
@@ -101,6 +103,7 @@
     index: PrefixIndex = field(default_factory=lambda: PrefixIndex(MOST_INDEX_ENTRIES))
     first_reads: FirstReads = field(default_factory=FirstReads)
     versions: dict[str, ModelVersion] = field(default_factory=dict)
+    named_weights: NamedWeights = field(default_factory=NamedWeights)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     counters: Counters = field(default_factory=Counters)
     late: LateCounts = field(default_factory=LateCounts)
@@ -108,10 +111,12 @@
     sidecars: int = SIDECARS_ASSUMED
     draining: bool = False
     start_gate: StartGate = field(init=False)
+    older_weights: OlderWeights = field(init=False)
 
     def __post_init__(self) -> None:
         """Requests wait until there are a configuration, servers and, where one is needed, a lease of keys."""
         self.start_gate = StartGate(self.scheduler, self._can_serve)
+        self.older_weights = OlderWeights(self.named_weights)
 
     def _can_serve(self) -> bool:
         now = self.scheduler.now()
