Count older weights' time from their naming, each revision by its own moment

Cause: the allowance was counted from this process's hearing of the newest revision. A further revision set the clock of an earlier one back, and a process that was started anew, frozen or away counted from when it heard. Besides, a request that was sent in time could wait at a slow server and begin late. Change: each revision has a moment of its own, the earliest that anybody told; core members tell with their heartbeats how long ago each was named, as durations, and learn it from one another; the moment is looked at again once the connection stands; a request that a server on older weights has not begun by 0.95 of the bound is taken back. Tests changed: two frames of test_codec are of the heartbeat's third version, the list of versions tells a further field.

--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -24,6 +24,7 @@
 from iristrack.controlplane.register_host import RegisterHost, transfer_ns
 from iristrack.controlplane.status import PeerBook, status_document
 from iristrack.controlplane.weights import WeightsDuty
+from iristrack.engines.named_weights import NamedWeights
 from iristrack.register import Committed
 from iristrack.relay import topics
 from iristrack.settings import Settings
@@ -127,6 +128,7 @@
         self.load_hub = LoadHub(self.scheduler, settings.node_name, self.dialers.broadcast)
         self.kept = KeptPrompts(self.scheduler, self.address, self._holders, self._connected)
         self.key_leases = KeyLeases(self.register, self._send)
+        self.named_weights = NamedWeights()
         self.heartbeats = 0
         self.peer_book = PeerBook()
         self._core: set[PeerConnection] = set()  # accepted connections whose other ends are core members
@@ -170,6 +172,7 @@
         )
         self.distribution.on_learned.append(self.weights.on_update)
         self.distribution.on_learned.append(self._on_learned)
+        self.distribution.on_learned.append(self._note_named_weights)
         if self.register.founded:
             self._tell_members()
         elif self.register.voting or self._is_founder:
@@ -308,7 +311,14 @@
         return self._tell((Version(update.topic, update.sequence),))
 
     def _tell(self, known: tuple[Version, ...]) -> Heartbeat:
-        return Heartbeat(self.settings.node_name, self.process, self.heartbeats, known, self.quorum.holds())
+        return Heartbeat(
+            self.settings.node_name,
+            self.process,
+            self.heartbeats,
+            known,
+            self.quorum.holds(),
+            self.named_weights.ages(self.scheduler.now()),
+        )
 
     def _send(self, member: str, message: Message) -> None:
         self.dialers.send(member, message)
@@ -358,17 +368,25 @@
             self.load_hub.from_sidecar(connection, message)
 
     def _on_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
+        self.named_weights.heard_ages(message.named, self.scheduler.now())
         if connection in self.distribution.subscribers:
             self.distribution.on_heartbeat(connection, message)
             connection.send(self._heartbeat())
 
-    # ---- what was committed without this process being told
+    # ---- weights that were named
+
+    def _note_named_weights(self, update: Update) -> None:
+        told = decode_value(update.value, VersionsValue) if update.topic == topics.VERSIONS else None
+        for version in told.versions if told is not None else ():
+            self.named_weights.heard(version.model, version.revision, self.scheduler.now())
 
     def _named(self) -> dict[str, int]:
         update = self.distribution.topics.get(topics.VERSIONS)
         told = decode_value(update.value, VersionsValue) if update is not None else None
         return {} if told is None else {v.model: v.revision for v in told.versions}
 
+    # ---- what was committed without this process being told
+
     def _learn_loop(self) -> None:
         """Read each register whose accepted value here is not the one that was last told as committed.
 
--- a/iristrack/controlplane/status.py
+++ b/iristrack/controlplane/status.py
@@ -14,6 +14,7 @@
 from iristrack.controlplane.quorum_contact import QuorumContact
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.controlplane.weights import WeightsDuty
+from iristrack.engines.named_weights import NamedWeights
 from iristrack.relay import topics
 from iristrack.relay.topics import TopicTable
 from iristrack.runtime.scheduler import clock
@@ -25,6 +26,7 @@
     ConfigurationValue,
     DutyValue,
     Hello,
+    NamedAge,
     ServersValue,
     VersionsValue,
 )
@@ -95,10 +97,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ModelStatus:
-    """The newest named revision of a model's weights."""
+    """A revision of a model's weights, as a server holds it or as it was named last."""
 
     model: str
     revision: int
+    named_ms_ago: int | None = None  # at least; None where it is not known
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +174,7 @@
     distribution: Distribution
     dialers: DialerSet
     weights: WeightsDuty | None
+    named_weights: NamedWeights
     peer_book: PeerBook
 
 
@@ -204,7 +208,9 @@
         list_poller=min({parts.address, *connected}) if parts.settings.provider_api is not None else "",
         duties=(_weights_duty(parts),),
         configuration=configuration_status(_value(known, topics.CONFIGURATION, ConfigurationValue)),
-        versions=version_statuses(_value(known, topics.VERSIONS, VersionsValue)),
+        versions=version_statuses(
+            _value(known, topics.VERSIONS, VersionsValue), parts.named_weights.ages(clock())
+        ),
         servers=_servers(known) if with_servers else None,
     )
 
@@ -224,9 +230,11 @@
     return ConfigurationStatus(value.revision, value.sequence, digest)
 
 
-def version_statuses(value: VersionsValue | None) -> tuple[ModelStatus, ...]:
-    """The named weights by their register's value."""
-    return () if value is None else tuple(ModelStatus(v.model, v.revision) for v in value.versions)
+def version_statuses(value: VersionsValue | None, ages: Iterable[NamedAge] = ()) -> tuple[ModelStatus, ...]:
+    """The named weights by their register's value, and how long ago they were named where that is known."""
+    ms_ago = {(age.model, age.revision): age.age_ms for age in ages}
+    versions = () if value is None else value.versions
+    return tuple(ModelStatus(v.model, v.revision, ms_ago.get((v.model, v.revision))) for v in versions)
 
 
 def _value(known: TopicTable, topic: str, expected: type) -> Any:
--- a/iristrack/dataplane/attempts.py
+++ b/iristrack/dataplane/attempts.py
@@ -35,6 +35,14 @@
         self.ran = ran
 
 
+class NotBegunInTime(AttemptFailed):
+    """The server has not begun the request, and its weights count no longer: the request was taken back."""
+
+    def __init__(self) -> None:
+        """The server may have begun it in this moment."""
+        super().__init__("not begun before its weights ceased to count", ran=True)
+
+
 class SendForbidden(Exception):
     """The right to send the request has ended before it was sent."""
 
@@ -78,6 +86,9 @@
         self.written = False  # may the server have the request?
         self.sent_at = 0  # ns, when it was written
         self.head: http.Head | None = None
+        self.begin_by: Callable[[int], int] = lambda now: (
+            deadline
+        )  # ns; asked again when that moment has come
         self._link: Link | None = None
         self._whole: http.Message | None = None  # an answer without a body
 
@@ -199,9 +210,25 @@
                 return link.sock.recv(RECEIVE)
             except BlockingIOError:
                 pass
-            if self.scheduler.wait(link.fd, READ, self.deadline) == WOKEN and self.client.left:
+            if self._wait_readable(link) == WOKEN and self.client.left:
                 raise ClientLeft
 
+    def _wait_readable(self, link: Link) -> object:
+        """Wait for the answer; raises `TimeoutError` at the deadline, `NotBegunInTime` where its head is overdue."""
+        if self.head is not None:
+            return self.scheduler.wait(link.fd, READ, self.deadline)
+        # Sent is not begun: a request that waits at a slow server would begin on weights that count no longer.
+        until = min(self.deadline, self.begin_by(clock()))
+        try:
+            return self.scheduler.wait(link.fd, READ, until)
+        except TimeoutError:
+            now = clock()
+            if now >= self.deadline:
+                raise
+            if now >= self.begin_by(now):
+                raise NotBegunInTime from None
+            return None
+
     def _write(self, request: bytes) -> None:
         link = self._link
         view = memoryview(request)
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -15,7 +15,7 @@
 from iristrack.dataplane.core_view import CoreView
 from iristrack.dataplane.discovery import ListFollower
 from iristrack.dataplane.load_reports import LoadReporter
-from iristrack.dataplane.state import ActiveConfiguration, ModelVersion, PlaneState
+from iristrack.dataplane.state import ActiveConfiguration, PlaneState
 from iristrack.relay import topics
 from iristrack.relay.catch_up import CatchUp
 from iristrack.relay.topics import TopicTable
@@ -34,6 +34,7 @@
     KeyLeaseRequest,
     MembersValue,
     Message,
+    NamedAge,
     ServerLoads,
     Subscribe,
     Update,
@@ -165,6 +166,7 @@
     def _on_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
         """A member tells how new its topics are: what the hub does not push in time is asked for."""
         self.core.heard(connection, message)
+        self._on_named_ages(message.named)
         self._choose_hub()
         if connection is not self._hub:
             self.catch_up.heard(connection, self.topics.versions(), message.known, self.plane.scheduler.now())
@@ -237,12 +239,20 @@
             return
         now = self.plane.scheduler.now()
         for version in told.versions:
-            self.plane.named_weights.heard(version.model, version.revision, now)
-            known = self.plane.versions.get(version.model)
-            if known is None or known.revision < version.revision:
-                self.plane.versions[version.model] = ModelVersion(version.revision, now)
+            if self.plane.named_weights.heard(version.model, version.revision, now):
                 self.log.info("weights named", model=version.model, revision=version.revision)
 
+    def _on_named_ages(self, ages: tuple[NamedAge, ...]) -> None:
+        """Count from the naming, which a process that was away or began anew heard of late."""
+        now = self.plane.scheduler.now()
+        models = {age.model for age in ages}
+        before = {model: self.plane.required_revision(model, now) for model in models}
+        self.plane.named_weights.heard_ages(ages, now)
+        for model in sorted(models):
+            required = self.plane.required_revision(model, now)
+            if required > before[model]:
+                self.log.info("weights required", model=model, revision=required)
+
     def _on_kept(self, batch: KeptBatch) -> None:
         now = self.plane.scheduler.now()
         for change in batch.entries:
--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from functools import partial
 
 from iristrack.dataplane.attempts import (
     Attempt,
     AttemptFailed,
     DeadlinePassed,
+    NotBegunInTime,
     SendForbidden,
     Verdict,
     verdict,
@@ -34,7 +36,6 @@
 SILENT_NS = 1500 * NS_PER_MS  # without a word from a server, at the end of which it counts as failed
 LEAST_LEFT_NS = 20 * NS_PER_MS  # with less time left nothing is sent any more
 SHORT_OUTPUT_TOKENS = 32  # an answer of so many tokens is done soon
-OLD_WEIGHTS_SHARE = 0.75  # of `version_ms` after which no request is sent to servers on older weights
 WHOLE_ANSWER = 256 * 1024  # a longer one is passed on in pieces
 
 
@@ -134,20 +135,11 @@
         usable = [s for s in usable if not s.left_out] or usable
         model = self.request.model
         if model is not None:
-            usable = self._on_current_weights(usable, model, now)
+            usable = serving(usable, model, self.plane.required_revision(model, now))
         if self.request.output_tokens > SHORT_OUTPUT_TOKENS:
             usable = [s for s in usable if not s.preparing] or usable
         return choose(usable, self.request.key, self.prompt.at, self.plane.rng)
 
-    def _on_current_weights(self, servers: list[Server], model: str, now: int) -> list[Server]:
-        """Servers that may begin requests: soon after a new revision was acknowledged only those that hold it."""
-        version = self.plane.versions.get(model)
-        if version is None:
-            return serving(servers, model, 0)
-        grace = int(self.plane.settings.rule_bounds.version_ms * OLD_WEIGHTS_SHARE) * NS_PER_MS
-        least = version.revision if now >= version.learned_at + grace else 0
-        return serving(servers, model, least)
-
     # ---- one attempt
 
     def _try(self, server: Server) -> bool:
@@ -157,6 +149,8 @@
         if self.tried:
             plane.counters.retries += 1
         cache = self.prompt.cache_use(server)
+        if cache is not None:
+            attempt.begin_by = partial(plane.begin_by, request.model, cache.revision)
         began = clock()
         self._unread = pieces_to_read(self.prompt.at(server))
         fetches = cache is not None and cache.fetch_from is not None
@@ -164,8 +158,12 @@
         server.began(self._unread)
         self.prompt.begin_read(server)
         try:
-            attempt.send(self._encode(server, cache), self._may_send)
+            attempt.send(self._encode(server, cache), partial(self._may_begin, cache))
             return self._take_answer(attempt, server, cache)
+        except NotBegunInTime:
+            self.failed_at.add(server.instance_id)
+            self.may_have_run = True
+            return False
         except AttemptFailed as failure:
             self._note_failure(server, failure)
             return False
@@ -187,6 +185,12 @@
             server.ended()
             attempt.close()
 
+    def _may_begin(self, cache: CacheUse | None) -> bool:
+        """May it be sent now, to a server on the weights that it expects?"""
+        if not self._may_send():
+            return False
+        return cache is None or cache.revision >= self.plane.required_revision(self.request.model, clock())
+
     def _has_read(self, server: Server) -> None:
         """The prompt is read, or the attempt is over."""
         server.has_read(self._unread)
--- a/iristrack/dataplane/state.py
+++ b/iristrack/dataplane/state.py
@@ -24,7 +24,12 @@
 from iristrack.runtime.scheduler import Scheduler
 from iristrack.settings import Settings
 
+NS_PER_MS = 1_000_000
 MOST_INDEX_ENTRIES = 60_000
+SEND_SHARE = (
+    0.75  # of `version_ms` after a revision was named, in which requests are sent to servers on older ones,
+)
+BEGIN_SHARE = 0.95  # and in which they have to have begun there; what is left is for messages under way
 Labelled = TypeVar("Labelled", Route, Tenant)
 SIDECARS_ASSUMED = 12  # that share the retry budget while their number is not known
 
@@ -69,14 +74,6 @@
     return [item for item in items if item.label in named]
 
 
-@dataclass(slots=True)
-class ModelVersion:
-    """The newest acknowledged revision of a model's weights, and when this sidecar learned of it (ns)."""
-
-    revision: int
-    learned_at: int
-
-
 @dataclass(slots=True)
 class Counters:
     """Of requests, for the log."""
@@ -102,7 +99,6 @@
     servers: ServerTable = field(default_factory=ServerTable)
     index: PrefixIndex = field(default_factory=lambda: PrefixIndex(MOST_INDEX_ENTRIES))
     first_reads: FirstReads = field(default_factory=FirstReads)
-    versions: dict[str, ModelVersion] = field(default_factory=dict)
     named_weights: NamedWeights = field(default_factory=NamedWeights)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     counters: Counters = field(default_factory=Counters)
@@ -122,6 +118,17 @@
         now = self.scheduler.now()
         return self.active is not None and self.servers.known and self.key_lease.holds(now)
 
+    def required_revision(self, model: str, now: int) -> int:
+        """The oldest revision of a model's weights to which a request may still be sent; 0: any."""
+        return self.named_weights.required(model, now, self._allowance_ns(SEND_SHARE))
+
+    def begin_by(self, model: str, revision: int, now: int) -> int:
+        """By when (ns) a request has to have begun on a revision, as far as is known now."""
+        return self.named_weights.begin_by(model, revision, now, self._allowance_ns(BEGIN_SHARE))
+
+    def _allowance_ns(self, share: float) -> int:
+        return int(self.settings.rule_bounds.version_ms * share) * NS_PER_MS
+
     def follow_sidecars(self, count: int) -> None:
         """So many data planes share the retry budgets."""
         self.sidecars = max(1, count)
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -81,7 +81,7 @@
     MessageKind(5, messages.Accepted, version=2),
     MessageKind(6, messages.Subscribe, version=3),
     MessageKind(7, messages.Update),
-    MessageKind(8, messages.Heartbeat, version=2),
+    MessageKind(8, messages.Heartbeat, version=3),
     MessageKind(10, messages.ConfigurationValue, version=2),
     MessageKind(11, messages.VersionsValue),
     MessageKind(12, messages.DutyValue),
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -111,6 +111,15 @@
     value: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class NamedAge:
+    """How long before the message was sent a revision of a model's weights was named, at least (ms)."""
+
+    model: str
+    revision: int
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """The sender is alive; `known` lets the receiver send what the sender has missed."""
@@ -120,6 +129,7 @@
     count: int
     known: tuple[Version, ...] = ()  # of all topics, or of those that have just changed
     in_quorum: bool = True  # does a core member reach a quorum of the member set? True from all others
+    named: tuple[NamedAge, ...] = ()  # from core members: the revisions of weights that were named
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/cli/test_system_commands.py
+++ b/tests/cli/test_system_commands.py
@@ -232,6 +232,7 @@
     assert seen["act_ms"] > 0
     assert duty["owner"] in run("duties", *running.control).out
     versions = run("versions", "--json", *running.control).json["versions"]
+    assert [version.pop("named_ms_ago") >= 0 for version in versions] == [True]
     assert versions == [{"model": MODEL, "revision": 2}]
     assert re.search(rf"{MODEL} +2\n", run("versions", *running.control).out)
 
--- a/tests/dataplane/test_control_link.py
+++ b/tests/dataplane/test_control_link.py
@@ -17,11 +17,13 @@
     BusyServers,
     ConfigurationAmendment,
     ConfigurationValue,
+    Heartbeat,
     Hello,
     InstanceRevision,
     KeyLeaseGrant,
     KeyLeaseRequest,
     ModelRevision,
+    NamedAge,
     ServerLoad,
     ServerLoads,
     Subscribe,
@@ -95,11 +97,29 @@
 
 def test_named_weights_only_rise_and_remember_when_they_were_heard_of_first(linked: Linked) -> None:
     linked.update(topics.VERSIONS, 1, VersionsValue(1, (ModelRevision("m", 2),)))
-    heard = linked.plane.versions["m"].learned_at
+    heard = linked.plane.named_weights.superseded_at("m", 1)
     linked.update(topics.VERSIONS, 2, VersionsValue(2, (ModelRevision("m", 2), ModelRevision("n", 1))))
-    assert (linked.plane.versions["m"].revision, linked.plane.versions["m"].learned_at) == (2, heard)
+    assert (linked.plane.named_weights.newest("m"), linked.plane.named_weights.superseded_at("m", 1)) == (
+        2,
+        heard,
+    )
     linked.update(topics.VERSIONS, 3, VersionsValue(3, (ModelRevision("m", 1), ModelRevision("n", 4))))
-    assert (linked.plane.versions["m"].revision, linked.plane.versions["n"].revision) == (2, 4)
+    assert (linked.plane.named_weights.newest("m"), linked.plane.named_weights.newest("n")) == (2, 4)
+
+
+def test_a_revision_counts_from_its_naming_however_late_it_is_heard_of(linked: Linked) -> None:
+    """A process that was away, or began anew, hears of the newest revision alone, and late."""
+    plane = linked.plane
+    bound_ms = int(plane.settings.rule_bounds.version_ms)
+    linked.update(topics.VERSIONS, 5, VersionsValue(5, (ModelRevision("m", 3),)))
+    assert plane.required_revision("m", clock()) == 0
+    ages = (NamedAge("m", 2, bound_ms), NamedAge("m", 3, 10))
+    linked.link._on_message(linked.core, Heartbeat("core", "p", 1, named=ages))
+    assert plane.required_revision("m", clock()) == 2
+    linked.link._on_message(linked.core, Heartbeat("other", "p", 1, named=(NamedAge("m", 3, 20),)))
+    assert plane.required_revision("m", clock()) == 2
+    linked.link._on_message(linked.core, Heartbeat("core", "p", 2, named=(NamedAge("m", 3, bound_ms),)))
+    assert plane.required_revision("m", clock()) == 3
 
 
 def test_servers_that_take_weights_are_left_alone_until_told_otherwise(stand: Stand, linked: Linked) -> None:
--- a/tests/engines/test_named_weights.py
+++ b/tests/engines/test_named_weights.py
@@ -5,7 +5,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from iristrack.engines.named_weights import MOST_REVISIONS, NamedWeights
+from iristrack.engines.named_weights import (
+    LOOK_AGAIN_NS,
+    MOST_MODELS,
+    MOST_REVISIONS,
+    NS_PER_MS,
+    NamedWeights,
+)
+from iristrack.wire.messages import NamedAge
 
 REPORTS = st.lists(st.tuples(st.integers(1, 6), st.integers(0, 100)), max_size=12)
 
@@ -56,3 +63,42 @@
     assert len(named._named["m"]) == MOST_REVISIONS
     for revision in range(3 * MOST_REVISIONS - 1):
         assert named.superseded_at("m", revision) <= (revision + 1) * 10
+
+
+@given(REPORTS, st.integers(0, 200), st.integers(0, 60))
+def test_no_report_lowers_what_is_required(reports: list[tuple[int, int]], now: int, allowance: int) -> None:
+    named = NamedWeights()
+    required = 0
+    for revision, at in reports:
+        named.heard("m", revision, at)
+        assert named.required("m", now, allowance) >= required
+        required = named.required("m", now, allowance)
+    assert required == max((revision for revision, at in reports if now - at >= allowance), default=0)
+
+
+def test_ages_bring_the_moments_to_another_process() -> None:
+    here, there = NamedWeights(), NamedWeights()
+    here.heard("m", 2, 1_000 * NS_PER_MS)
+    here.heard("m", 3, 4_000 * NS_PER_MS + 1)
+    ages = here.ages(5_000 * NS_PER_MS)
+    assert ages == (NamedAge("m", 2, 4_000), NamedAge("m", 3, 1_000))  # never told as younger than it is
+    there.heard_ages(ages, 90_000 * NS_PER_MS)  # its clock began elsewhere
+    assert there.superseded_at("m", 1) == 86_000 * NS_PER_MS
+    assert there.superseded_at("m", 2) == 89_000 * NS_PER_MS
+
+
+def test_work_may_begin_until_the_allowance_of_the_first_newer_revision_ends() -> None:
+    named = NamedWeights()
+    assert named.begin_by("m", 1, 70, 0) == 70 + LOOK_AGAIN_NS
+    assert named.begin_by("m", 1, 70, 2 * LOOK_AGAIN_NS) == 70 + 2 * LOOK_AGAIN_NS
+    named.heard("m", 2, 20)
+    named.heard("m", 3, 60)
+    assert (named.begin_by("m", 1, 70, 100), named.begin_by("m", 2, 70, 100)) == (120, 160)
+
+
+def test_models_are_bounded() -> None:
+    named = NamedWeights()
+    for number in range(MOST_MODELS + 5):
+        named.heard(f"m{number}", 2, 0)
+    assert named.heard("m0", 3, 1)
+    assert len(named.ages(0)) == MOST_MODELS + 1
--- a/tests/system/test_older_weights.py
+++ b/tests/system/test_older_weights.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from collections.abc import Iterator
 
@@ -23,7 +24,9 @@
 
 from iristrack.standin.client import ask_once
 from iristrack.standin.ledger import Arrival
+from iristrack.standin.machine import Machine
 from iristrack.standin.model_server import ModelServer
+from iristrack.standin.operator import Call, call_once
 from iristrack.standin.system import System
 from iristrack.standin.waiting import wait_until
 from tests.system.scene import AMPLE_RETRIES, CHAT, MODEL, generation, usual_configuration
@@ -81,6 +84,12 @@
     return acknowledged
 
 
+def knows_age(core: Machine) -> bool:
+    """Does this core member know that the bound of the newest version is over?"""
+    status = call_once(core.control, Call("GET", "/system/status")).json
+    return any(v["named_ms_ago"] >= VERSION_MS for v in status["versions"] if v["named_ms_ago"] is not None)
+
+
 def test_a_further_version_gives_weights_whose_time_is_over_no_new_time(system: System) -> None:
     leave_one_behind(system)
     for server in system.model_servers:
@@ -96,3 +105,44 @@
     edge.start()
     system.wait_ready()
     assert {arrival.revision for arrival in begun(system)} == {2}
+
+
+def test_a_sidecar_that_starts_anew_between_two_versions_goes_by_the_earlier_one(system: System) -> None:
+    """The register names the newest version alone, whose time has just begun; that of the one before it is over."""
+    leave_one_behind(system)
+    for server in system.model_servers:
+        server.weights.stuck = True
+    name_version(system, 3)
+    edge = system.edges[0]
+    edge.kill()
+    edge.start()
+    system.wait_ready()
+    assert {arrival.revision for arrival in begun(system)} == {2}
+
+
+def test_a_sidecar_that_was_frozen_as_a_version_was_named_gives_older_weights_no_new_time(
+    system: System,
+) -> None:
+    edge = system.edges[0]
+    edge.send_signal(signal.SIGSTOP)
+    leave_one_behind(system)
+    edge.send_signal(signal.SIGCONT)
+    wait_until(lambda: 'event="weights required"' in edge.log(), "the word of how long ago it was named")
+    assert {arrival.revision for arrival in begun(system)} == {2}
+
+
+def test_a_core_that_was_exchanged_one_by_one_still_knows_how_long_ago_a_version_was_named(
+    system: System,
+) -> None:
+    leave_one_behind(system)
+    for core in system.cores:
+        core.kill()
+        core.change_settings(bootstrap=False)
+        core.start()
+        system.wait_listening([core])
+        wait_until(lambda core=core: knows_age(core), f"the word of the others at {core.name}")
+    edge = system.edges[0]
+    edge.kill()
+    edge.start()
+    system.wait_ready()
+    assert {arrival.revision for arrival in begun(system)} == {2}
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -201,8 +201,8 @@
     [
         framed(60_000, 1, b"of a later program"),
         framed(8, 0, encode(messages.Heartbeat("n", "p", 1))[8:]),
-        framed(8, 2, encode(messages.Heartbeat("n", "p", 1))[8:] + b"\0"),
-        framed(8, 2, encode(messages.Heartbeat("n", "p", 1))[8:-1]),
+        framed(8, 3, encode(messages.Heartbeat("n", "p", 1))[8:] + b"\0"),
+        framed(8, 3, encode(messages.Heartbeat("n", "p", 1))[8:-1]),
         framed(7, 1, b"\x02\xff\x02\x00"),  # no UTF-8
         framed(17, 1, b"\xfe\xff\xff\xff\xff\xff\xff\xff\xff\x01"),  # 2 ** 62 entries
         framed(17, 1, b""),
