Bound the models whose weights are named, and go by the shorter of both bounds

Need: the table of moments holds 256 models, so the register does too: one more gets 400 and a finding, those that are named go on. Where version_fleet_ms is shorter than version_ms, it bounds older weights.

--- a/iristrack/controlplane/changes.py
+++ b/iristrack/controlplane/changes.py
@@ -9,6 +9,7 @@
 from iristrack.configuration.amendment import Amendment, apply_amendment
 from iristrack.configuration.findings import Finding
 from iristrack.configuration.model import Configuration
+from iristrack.engines.named_weights import MOST_MODELS
 from iristrack.register import Refuse, Unchanged
 from iristrack.wire.messages import (
     ConfigurationValue,
@@ -25,6 +26,7 @@
 NOT_HIGHER = "the revision is not higher than the current one"
 HELD = "the duty is held by another"
 INVALID = "the configuration that would result is invalid"
+TOO_MANY_MODELS = f"weights of {MOST_MODELS} models are named already"
 
 NO_CONFIGURATION = ConfigurationValue(0, 0, b"")
 Outcome = bytes | Unchanged | Refuse
@@ -130,13 +132,15 @@
 
 
 def name_version(model: str, revision: int) -> Change:
-    """Name a revision of a model's weights; an older one than is named changes nothing."""
+    """Name a revision of a model's weights; an older one changes nothing, a model too many is refused."""
 
     def change(value: bytes) -> Outcome:
         current = decode_value(value, VersionsValue) or VersionsValue(0)
         versions = {version.model: version.revision for version in current.versions}
         if versions.get(model, 0) >= revision:
             return Unchanged()
+        if model not in versions and len(versions) >= MOST_MODELS:
+            return Refuse(TOO_MANY_MODELS)
         versions[model] = revision
         named = tuple(ModelRevision(name, number) for name, number in sorted(versions.items()))
         return encode_value(VersionsValue(current.sequence + 1, named))
--- a/iristrack/controlplane/operator_api.py
+++ b/iristrack/controlplane/operator_api.py
@@ -243,6 +243,8 @@
     def _name_version(self, command: NameVersion) -> Response:
         change = changes.name_version(command.model, command.revision)
         result = self.register.change(topics.VERSIONS, change, self.register.scheduler.now() + CALL_NS)
+        if isinstance(result, Rejected):
+            return _findings(BadCall(400, (Finding("model_name", result.reason, "name one of those"),)))
         if not isinstance(result, Committed):
             return no_quorum()
         value = decode_value(result.value, VersionsValue)
--- a/iristrack/dataplane/state.py
+++ b/iristrack/dataplane/state.py
@@ -26,10 +26,10 @@
 
 NS_PER_MS = 1_000_000
 MOST_INDEX_ENTRIES = 60_000
-SEND_SHARE = (
-    0.75  # of `version_ms` after a revision was named, in which requests are sent to servers on older ones,
-)
-BEGIN_SHARE = 0.95  # and in which they have to have begun there; what is left is for messages under way
+# Shares of `older_weights_ms` after a revision was named: so long requests are sent to servers on older ones, and by
+# then they have to have begun there. What is left is for messages under way.
+SEND_SHARE = 0.75
+BEGIN_SHARE = 0.95
 Labelled = TypeVar("Labelled", Route, Tenant)
 SIDECARS_ASSUMED = 12  # that share the retry budget while their number is not known
 
@@ -127,7 +127,7 @@
         return self.named_weights.begin_by(model, revision, now, self._allowance_ns(BEGIN_SHARE))
 
     def _allowance_ns(self, share: float) -> int:
-        return int(self.settings.rule_bounds.version_ms * share) * NS_PER_MS
+        return int(self.settings.rule_bounds.older_weights_ms * share) * NS_PER_MS
 
     def follow_sidecars(self, count: int) -> None:
         """So many data planes share the retry budgets."""
--- a/iristrack/settings.py
+++ b/iristrack/settings.py
@@ -119,6 +119,11 @@
     version_ms: float = 8_000
     version_fleet_ms: float = 0
 
+    @property
+    def older_weights_ms(self) -> float:
+        """For how long after newer weights were named work may begin on older ones."""
+        return min(self.version_ms, self.version_fleet_ms or self.version_ms)
+
     @property
     def key_lease_ms(self) -> float | None:
         """For how long keys may be honoured unconfirmed; None where removed keys bind machines in touch alone."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -223,3 +223,13 @@
 def test_what_is_no_address_is_refused(text: str) -> None:
     with pytest.raises(ValueError, match=r"HOST:PORT|no port"):
         parse_address(text)
+
+
+@pytest.mark.parametrize(
+    ("version_ms", "fleet_ms", "expected"),
+    [(8_000, 0, 8_000), (15_000, 21_000, 15_000), (15_000, 9_000, 9_000)],
+)
+def test_the_shorter_bound_of_older_weights_counts(
+    version_ms: float, fleet_ms: float, expected: float
+) -> None:
+    assert RuleBounds(version_ms=version_ms, version_fleet_ms=fleet_ms).older_weights_ms == expected
