--- a/iristrack/standin/client.py
+++ b/iristrack/standin/client.py
@@ -18,6 +18,11 @@
 class BrokenAnswer(Exception):
     """The answer ended before it was complete."""
 
+    def __init__(self, reason: str, received: bytes = b"") -> None:
+        """`received` is what had come of the body."""
+        super().__init__(reason)
+        self.received = received
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -94,6 +99,15 @@
         event, _, self._buffer = self._buffer.partition(b"\n\n")
         return event + b"\n\n"
 
+    def read_rest(self) -> bytes:
+        """The rest of the body; raises `BrokenAnswer`, with what had come where its connection was closed."""
+        try:
+            return self._buffer + self._response.read()
+        except http.client.IncompleteRead as cut:
+            raise BrokenAnswer(repr(cut), self._buffer + cut.partial) from cut
+        except (OSError, http.client.HTTPException) as fault:
+            raise BrokenAnswer(repr(fault), self._buffer) from fault
+
     def events(self) -> Iterator[bytes]:
         """All events that are still to come; raises `BrokenAnswer`."""
         while (event := self.next_event()) is not None:
@@ -128,6 +142,11 @@
         """Close the connection."""
         self._connection.close()
 
+    @property
+    def connected(self) -> bool:
+        """Is the connection open, as far as this end knows?"""
+        return self._connection.sock is not None
+
     def local_port(self) -> int:
         """The client's port, by which connections are told apart."""
         return self._connection.sock.getsockname()[1]
--- a/iristrack/standin/documents.py
+++ b/iristrack/standin/documents.py
@@ -56,6 +56,17 @@
     }
 
 
+def amendment_of(before: Document, after: Document) -> Document:
+    """What makes the second configuration of the first, by its routes."""
+    old = {row["label"]: row for row in before["route_table"]}
+    new = {row["label"]: row for row in after["route_table"]}
+    return {
+        "revision": after["revision"],
+        "upsert": {"route_table": [row for label, row in new.items() if old.get(label) != row]},
+        "remove": {"route_table": [label for label in old if label not in new]},
+    }
+
+
 def tenant(label: str, *keys: str, priority: int = 1, isolated: bool = False) -> Document:
     """One tenant."""
     return {"label": label, "api_keys": list(keys), "priority": priority, "isolated": isolated}
--- a/iristrack/standin/machine.py
+++ b/iristrack/standin/machine.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 from iristrack.standin.waiting import PATIENCE_S, wait_until
@@ -71,6 +72,17 @@
         """Is there a process that has not ended?"""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def handles_signals(self) -> bool:
+        """Has the present process set its handlers? Before that a signal ends it."""
+        if not self.running:
+            return False
+        with suppress(OSError):
+            lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+            caught = next(line.split()[1] for line in lines if line.startswith("SigCgt:"))
+            return bool(int(caught, 16) >> (signal.SIGHUP - 1) & 1)
+        return False
+
     # ---- settings and disk
 
     def write_settings(self) -> None:
