End a sidecar's subscription to kept prompts at its former hub

Cause: a hub that a sidecar had left went on sending every change of kept prompts, which the sidecar dropped: bytes between zones, and a wake-up each. Change: KeptSubscribe (schema version 2) can end a subscription. An older core member reads it as a subscription and sends one copy more.

--- a/iristrack/controlplane/kept_prompts.py
+++ b/iristrack/controlplane/kept_prompts.py
@@ -72,8 +72,11 @@
     # ---- those who follow
 
     def subscribe(self, connection: PeerConnection, message: KeptSubscribe) -> None:
-        """Tell a follower all there is, and every change from now on."""
+        """Tell a follower all there is, and every change from now on, or nothing any more."""
         self._flush_now()
+        if message.ends:
+            self._followers.pop(connection, None)
+            return
         follower = self._followers[connection] = _Follower(message.own_only)
         self._send_snapshot(connection, follower)
 
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -136,6 +136,8 @@
             for connection in (before, hub):
                 if connection is not None and not connection.closed:
                     self._subscribe(connection)
+            if before is not None and not before.closed:
+                before.send(KeptSubscribe(own_only=False, ends=True))
             if hub is not None:
                 hub.send(KeptSubscribe(own_only=False))
                 self._ask_for_key_lease()
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -90,7 +90,7 @@
     MessageKind(15, messages.ServerLoads, version=2),
     MessageKind(16, messages.ServersValue),
     MessageKind(17, messages.KeptBatch),
-    MessageKind(18, messages.KeptSubscribe),
+    MessageKind(18, messages.KeptSubscribe, version=2),
     MessageKind(19, messages.ConfigurationAmendment),
     MessageKind(20, messages.NewestQuery),
     MessageKind(21, messages.NewestAnswer),
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -319,9 +319,10 @@
 
 @dataclass(frozen=True, slots=True)
 class KeptSubscribe:
-    """Ask for all that holders keep, and for every change from now on."""
+    """Ask for all that holders keep, and for every change from now on; where it `ends`, for nothing any more."""
 
     own_only: bool  # only of the holders that the receiver watches itself
+    ends: bool = False
 
 
 Message = (
--- /dev/null
+++ b/tests/controlplane/test_kept_prompts.py
@@ -0,0 +1,44 @@
+"""Who is told what holders keep, and until when."""
+
+from __future__ import annotations
+
+import pytest
+
+from iristrack.controlplane.kept_prompts import KeptPrompts
+from iristrack.simulation.virtual_time import VirtualScheduler, World
+from iristrack.wire.messages import KeptBatch, KeptParts, KeptSubscribe, PartTokens
+from tests.controlplane.peers import Peer
+
+CHANGE = KeptParts("10.0.0.1:80", False, "s1", "m", (PartTokens("p1", 64),))
+
+
+@pytest.fixture
+def kept() -> KeptPrompts:
+    return KeptPrompts(VirtualScheduler(World()), "core-1", set, lambda: ["core-1"])
+
+
+def test_a_follower_is_told_until_it_ends_its_subscription(kept: KeptPrompts) -> None:
+    follower, other = Peer(), Peer()
+    for peer in (follower, other):
+        kept.subscribe(peer, KeptSubscribe(own_only=False))
+    kept.from_member(KeptBatch((CHANGE,)))
+    kept._flush_now()
+    assert follower.take() == other.take() == [KeptBatch((CHANGE,))]
+    kept.subscribe(follower, KeptSubscribe(own_only=False, ends=True))
+    kept.from_member(KeptBatch((CHANGE,)))
+    kept._flush_now()
+    assert follower.take() == []
+    assert other.take() == [KeptBatch((CHANGE,))]
+
+
+def test_one_that_comes_back_is_told_all_there_is(kept: KeptPrompts) -> None:
+    follower = Peer()
+    kept.from_member(KeptBatch((CHANGE,)))
+    kept.subscribe(follower, KeptSubscribe(own_only=False))
+    kept.subscribe(follower, KeptSubscribe(own_only=False, ends=True))
+    kept.subscribe(follower, KeptSubscribe(own_only=False, ends=True))  # twice is no fault
+    follower.take()
+    kept.subscribe(follower, KeptSubscribe(own_only=False))
+    (told,) = follower.take()
+    assert {entry.holder for entry in told.entries} == {CHANGE.holder}
+    assert told.entries[-1].parts == CHANGE.parts
--- a/tests/dataplane/test_control_link.py
+++ b/tests/dataplane/test_control_link.py
@@ -20,6 +20,7 @@
     Heartbeat,
     Hello,
     InstanceRevision,
+    KeptSubscribe,
     KeyLeaseGrant,
     KeyLeaseRequest,
     ModelRevision,
@@ -144,6 +145,18 @@
     assert [s.instance_id for s in linked.plane.servers.of_service("pool")] == ["i-1"]
 
 
+def test_kept_prompts_are_told_by_the_hub_alone(linked: Linked) -> None:
+    """A former hub went on telling them, to one who asked another member and dropped what it told."""
+    far = meet(linked, "elsewhere")
+    assert KeptSubscribe(own_only=False) in far.take()
+    near = meet(linked, "zone")
+    assert KeptSubscribe(own_only=False) in near.take()
+    assert KeptSubscribe(own_only=False, ends=True) in far.take()
+    near.closed = True
+    meet(linked, "zone")
+    assert near.take() == []
+
+
 def test_the_hub_is_a_member_of_the_zone_and_pushes(linked: Linked) -> None:
     far = meet(linked, "elsewhere")
     assert linked.link.hub() is far
