Keep a server's back-off when its busy mark ends

The mark of a server that takes new weights and the back-off of one that failed shared `avoid_until`, and the end of the mark set both back, also where the holder had given the server up because it did not answer. Change: the mark has a time of its own; a refusal while it lasts adds no back-off.

--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -277,8 +277,7 @@
         for instance in busy | self._busy:
             server = self.plane.servers.servers.get(instance)
             if server is not None:
-                server.busy = instance in busy
-                server.avoid_until = now + BUSY_NS if server.busy else 0
+                server.mark_busy(instance in busy, now + BUSY_NS)
         self._busy = busy
         for server in self.plane.servers.servers.values():
             server.preparing = server.instance_id in told.preparing
--- a/iristrack/placement/servers.py
+++ b/iristrack/placement/servers.py
@@ -45,6 +45,7 @@
     left_out: bool = False  # too many of its requests fail
     busy: bool = False  # it takes new weights, and is avoided until it has them
     preparing: bool = False  # it takes new weights next: long answers are better begun elsewhere
+    busy_until: int = 0  # ns; the mark lapses where nobody tells any more
     avoid_until: int = 0  # ns; it failed or turned a request away
     failures: int = 0  # in a row
     gone: bool = False  # the platform's list does not hold it any more
@@ -61,7 +62,7 @@
 
     def usable(self, now: int) -> bool:
         """May new requests be sent to it?"""
-        return self.listed.ready and not self.gone and now >= self.avoid_until
+        return self.listed.ready and not self.gone and now >= max(self.avoid_until, self.busy_until)
 
     @property
     def load(self) -> int:
@@ -85,8 +86,7 @@
         """An answer came: the back-off is forgotten."""
         self.outcomes.answered(now)
         self.failures = 0
-        if not self.busy:
-            self.avoid_until = 0
+        self.avoid_until = 0
 
     def failed(self, now: int) -> None:
         """A connection broke, did not come up or fell silent."""
@@ -96,16 +96,22 @@
         self.avoid_until = max(self.avoid_until, now + backoff)
 
     def rejected(self, now: int) -> None:
-        """It turned a request away."""
+        """It turned a request away, as one does that takes new weights."""
+        if self.busy:
+            return
         self.avoid_until = max(self.avoid_until, now + REJECTED_BACKOFF_NS)
 
     def saw_revision(self, model: str, revision: int) -> None:
         """An answer, a report or the list told the revision of a model's weights; they never go back."""
         if revision > self.revisions.get(model, 0):
             self.revisions[model] = revision
-            if self.busy:
-                self.busy = False
-                self.avoid_until = 0
+            self.mark_busy(False, 0)
+
+    def mark_busy(self, busy: bool, until: int) -> None:
+        """It takes new weights, until then at most, or takes none any more."""
+        # A time of its own: the end of the mark says nothing about failures, whose back-off goes on.
+        self.busy = busy
+        self.busy_until = until if busy else 0
 
 
 class ServerTable:
--- a/tests/placement/test_servers.py
+++ b/tests/placement/test_servers.py
@@ -102,7 +102,7 @@
 
 def test_busy_ends_with_a_newer_revision_alone() -> None:
     server = only(listed("i-1", m=2))
-    server.busy, server.avoid_until = True, NOW
+    server.mark_busy(True, NOW)
     server.saw_revision("m", 2)
     server.saw_revision("m", 1)
     assert server.busy
@@ -114,11 +114,29 @@
 
 def test_an_answer_of_an_earlier_request_does_not_open_a_server_that_takes_new_weights() -> None:
     server = only(listed("i-1", m=2))
-    server.busy, server.avoid_until = True, NOW
+    server.mark_busy(True, NOW)
     server.succeeded(0)
     assert not server.usable(NOW - 1)
 
 
+def test_the_end_of_a_busy_mark_leaves_the_back_off_of_failures() -> None:
+    """A server that was given up as it took no order is told of as busy no more: it may be gone."""
+    server = only(listed("i-1", m=2))
+    server.mark_busy(True, NOW + 1)
+    server.failed(NOW)
+    server.mark_busy(False, NOW + 1)
+    assert not server.usable(NOW + FIRST_BACKOFF_NS - 1)
+    assert server.usable(NOW + FIRST_BACKOFF_NS)
+
+
+def test_a_refusal_while_it_takes_weights_does_not_outlast_them() -> None:
+    server = only(listed("i-1", m=2))
+    server.mark_busy(True, NOW + 1)
+    server.rejected(NOW)
+    server.saw_revision("m", 3)
+    assert server.usable(NOW)
+
+
 @given(st.lists(st.tuples(st.sampled_from(["begin", "read", "end"]), st.integers(0, 5))))
 def test_counts_are_never_negative_and_end_at_nothing(steps) -> None:
     (server,) = servers(1)
