--- a/tests/system/test_older_weights.py
+++ b/tests/system/test_older_weights.py
@@ -17,7 +17,6 @@
 from __future__ import annotations
 
 import signal
-import time
 from collections.abc import Iterator
 
 import pytest
@@ -25,13 +24,12 @@
 from iristrack.standin.client import ask_once
 from iristrack.standin.ledger import Arrival
 from iristrack.standin.machine import Machine
-from iristrack.standin.model_server import ModelServer
 from iristrack.standin.operator import Call, call_once
 from iristrack.standin.system import System
 from iristrack.standin.waiting import wait_until
 from tests.system.scene import AMPLE_RETRIES, CHAT, MODEL, generation, usual_configuration
+from tests.system.weights_scene import VERSION_MS, name_version, wait_past_the_bound, wait_revision
 
-VERSION_MS = 3_000
 SERVERS = 4
 REQUESTS = 40  # of which each meets the server in question with even chances
 
@@ -47,25 +45,6 @@
     return system
 
 
-def name_version(system: System, revision: int) -> float:
-    """Name new weights; when they were acknowledged (s, monotonic)."""
-    assert system.operator.name_version(MODEL, revision).status == 200
-    return time.monotonic()
-
-
-def wait_revision(servers: list[ModelServer], revision: int) -> None:
-    for server in servers:
-        wait_until(
-            lambda server=server: server.weights.revision == revision,
-            f"revision {revision} at {server.instance_id}",
-        )
-
-
-def wait_past_the_bound(acknowledged: float) -> None:
-    bound = acknowledged + VERSION_MS / 1000
-    wait_until(lambda: time.monotonic() > bound, "the end of the time for older weights")
-
-
 def begun(system: System) -> list[Arrival]:
     """The requests that a series of them began on servers, whatever became of the others."""
     before = len(system.ledger.arrivals())
--- a/tests/system/test_weights.py
+++ b/tests/system/test_weights.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Iterator
 
 import pytest
@@ -25,8 +24,8 @@
     generation,
     usual_configuration,
 )
+from tests.system.weights_scene import VERSION_MS, name_version, wait_past_the_bound, wait_revision
 
-VERSION_MS = 3_000
 SERVERS = 4
 ROLL_MS = 8_000  # `version_ms` where the whole roll is to be done in time
 EAST_KEY = "key-east"
@@ -55,14 +54,6 @@
     return [server for server in system.model_servers if server.service == CHAT]
 
 
-def wait_revision(system: System, revision: int, servers: list[ModelServer] | None = None) -> None:
-    for server in system.model_servers if servers is None else servers:
-        wait_until(
-            lambda server=server: server.weights.revision == revision,
-            f"revision {revision} at {server.instance_id}",
-        )
-
-
 def run(system: System, path: str = "/stream/x", **more: object) -> Arrival:
     """One generation that is served; where it ran."""
     request = generation(path, **more)
@@ -72,17 +63,6 @@
     return arrival
 
 
-def name_version(system: System, revision: int) -> float:
-    """Name new weights; when they were acknowledged."""
-    assert system.operator.name_version(MODEL, revision).status == 200
-    return time.monotonic()
-
-
-def wait_past_the_bound(acknowledged: float) -> None:
-    bound = acknowledged + VERSION_MS / 1000
-    wait_until(lambda: time.monotonic() > bound, "the end of the time for new weights")
-
-
 def test_every_server_is_ordered_once_by_one_fenced_holder_while_streams_go_on(system: System) -> None:
     stop = threading.Event()
     outcomes: list[object] = []
@@ -100,7 +80,7 @@
     thread.start()
     try:
         name_version(system, 2)
-        wait_revision(system, 2)
+        wait_revision(system.model_servers, 2)
     finally:
         stop.set()
         thread.join()
@@ -118,7 +98,7 @@
     stuck.weights.stuck = True
     wait_until(lambda: run(system).instance_id == stuck.instance_id, "a request at the server in question")
     acknowledged = name_version(system, 2)
-    wait_revision(system, 2, others)
+    wait_revision(others, 2)
     wait_past_the_bound(acknowledged)
     begun = len(system.ledger.arrivals())
     for _ in range(40):
@@ -126,13 +106,13 @@
     late = [a for a in system.ledger.arrivals()[begun:] if a.instance_id == stuck.instance_id]
     assert not any(arrival.ran for arrival in late)
     stuck.weights.stuck = False
-    wait_revision(system, 2, [stuck])
+    wait_revision([stuck], 2)
     wait_until(lambda: run(system).instance_id == stuck.instance_id, "a request at the server that caught up")
 
 
 def test_a_server_that_starts_later_is_brought_to_the_newest_weights(system: System) -> None:
     acknowledged = name_version(system, 2)
-    wait_revision(system, 2)
+    wait_revision(system.model_servers, 2)
     wait_past_the_bound(acknowledged)
     late = system.new_model_server(CHAT, MODEL, revision=1)
     system.platform.add(late)
@@ -151,7 +131,7 @@
     for revision in (1, 2):
         if revision == 2:
             name_version(system, 2)
-            wait_revision(system, 2)
+            wait_revision(system.model_servers, 2)
         for key in (KEY, EAST_KEY, SOUTH_KEY, WEST_KEY):
 
             def ran(key: str = key, revision: int = revision) -> Arrival | None:
@@ -178,7 +158,7 @@
         assert run(system, key=isolated, **kept).kept_tokens == 0
         assert run(system, key=isolated, **kept).kept_tokens == shared_tokens
     name_version(system, 2)
-    wait_revision(system, 2)
+    wait_revision(system.model_servers, 2)
     request = wait_until(lambda: _ran(system, kept), "a request at the server with its new weights")
     assert (request.revision, request.kept_tokens) == (2, 0)
 
@@ -192,7 +172,7 @@
 
 def test_an_older_or_repeated_version_orders_nothing(system: System) -> None:
     name_version(system, 3)
-    wait_revision(system, 3)
+    wait_revision(system.model_servers, 3)
     orders = len(system.ledger.orders())
     for revision in (3, 2, 1):
         name_version(system, revision)
@@ -207,7 +187,7 @@
     owner = system.ledger.orders()[0].body["owner"]
     (holder,) = [core for core in system.cores if core.name == owner]
     holder.kill()
-    wait_revision(system, 2)
+    wait_revision(system.model_servers, 2)
     orders = system.ledger.orders()
     # What the holder had sent when it was killed may reach a busy server after that: it is told by its owner.
     before = [order for order in orders if order.body["owner"] == owner]
@@ -243,14 +223,14 @@
     for core in system.cores:
         core.change_settings(bootstrap=False)
         core.start()
-    wait_revision(system, 2)
+    wait_revision(system.model_servers, 2)
 
 
 def test_a_holder_whose_fence_is_refused_orders_under_a_higher_one(system: System) -> None:
     refusing, *_ = chat(system)
     refusing.weights.highest_fence = 3  # of holders whom the register has forgotten
     name_version(system, 2)
-    wait_revision(system, 2)
+    wait_revision(system.model_servers, 2)
     orders = [o for o in system.ledger.orders() if o.instance_id == refusing.instance_id]
     fences = [order.body["fence_no"] for order in orders]
     assert [order.status for order in orders[:2]] == [412, 412]
