Play named weights in virtual time, with sidecars that start anew and freeze

Change: an operator who names revisions; sidecars freeze as well; faults of sidecars leave the core calm; the referee demands that no sidecar in touch lets work begin on older weights 7.6 s after others were named. Operators stand in a file of their own.

--- a/iristrack/simulation/control.py
+++ b/iristrack/simulation/control.py
@@ -17,7 +17,8 @@
 from dataclasses import dataclass, replace
 
 from iristrack.relay import topics
-from iristrack.simulation.control_nodes import Operator, SimulatedCore, SimulatedEdge
+from iristrack.simulation.control_nodes import SimulatedCore, SimulatedEdge
+from iristrack.simulation.control_operators import MODEL, Operator, WeightsOperator
 from iristrack.simulation.control_referee import Referee
 from iristrack.simulation.virtual_machines import USUAL_SYNC_NS, Network
 from iristrack.simulation.virtual_time import World
@@ -38,6 +39,7 @@
 MOST_SEEDS = 3
 
 
+EDGE_FAULTS = frozenset({"restart_edge", "freeze_edge"})  # which leave the core calm
 CUT_HOWS = ("split", "one_way", "near", "both", "lure", "relieve", "edges")
 
 
@@ -56,6 +58,7 @@
     cut_hows: tuple[str, ...] = CUT_HOWS
     operator_pause_ns: int = 300 * NS_PER_MS
     late_cores: int = 0  # machines that are let in beside all soon after the start
+    weights_pause_ns: int = 0  # between two revisions of weights that are named, on average; 0: none is
 
 
 SCENARIOS = {
@@ -91,6 +94,13 @@
         ),
         operator_pause_ns=60 * NS_PER_MS,
     ),
+    "weights": Scenario(
+        (("restart_edge", 6), ("freeze_edge", 4), ("kill", 1)),
+        edges=6,
+        duration_ns=60 * NS_PER_S,
+        fault_pause_ns=1500 * NS_PER_MS,
+        weights_pause_ns=5 * NS_PER_S,
+    ),
     "bad_disks": Scenario((("refusing_disk", 4), ("slow_disk", 1), ("stalled_disk", 1))),
     "mixed": Scenario(
         (
@@ -146,6 +156,10 @@
             Operator(n, self.world, random.Random(self.rng.getrandbits(64)), self.referee, self._reachable)
             for n in range(scenario.operators)
         ]
+        for operator in self.operators:
+            operator.pause_ns = scenario.operator_pause_ns
+        if scenario.weights_pause_ns:
+            self.operators.append(self._weights_operator())
         self._unsettled_at = 0
         self._lost_until: dict[str, int] = {}  # by machine: until when it counts as lost
         self._cut_now: set[tuple[str, str]] = set()
@@ -154,6 +168,13 @@
         self._armed: str | None = None  # what happens to the machine that acknowledges next
         self._ended = False
 
+    def _weights_operator(self) -> WeightsOperator:
+        rng = random.Random(self.rng.getrandbits(64))
+        number = len(self.operators)
+        operator = WeightsOperator(number, self.world, rng, self.referee, self._reachable)
+        operator.pause_ns = self.scenario.weights_pause_ns
+        return operator
+
     # ---- the run
 
     def run(self) -> RunResult:
@@ -162,7 +183,6 @@
             self.world.at(self.rng.randint(0, START_SPREAD_NS), None, machine.start)
         for operator in self.operators:
             operator.answers_lost = self.scenario.answers_lost
-            operator.pause_ns = self.scenario.operator_pause_ns
             operator.on_acknowledged = self._on_acknowledged
             self.world.at(NS_PER_S, None, operator.start)
         for _ in range(self.scenario.late_cores):
@@ -174,6 +194,7 @@
         self.world.run_until(self.world.now + HEALING_NS)
         self._judge_end()
         violations = self.referee.violations + [f"failure: {text}" for text in self.world.failures]
+        self.figures["weights_named"] = len(self.referee.weights)
         self.figures["orders_acknowledged"] = sum(
             order.acknowledged_at is not None for order in self.referee.orders.values()
         )
@@ -188,10 +209,14 @@
             self._unsettled_at = now
         calm_since = self._unsettled_at + CONTACT_NS
         judged = {
-            edge.process: max(edge.started_at + CONTACT_NS, self._lonely_until.get(edge.name, 0))
+            edge.process: max(edge.undisturbed_since + CONTACT_NS, self._lonely_until.get(edge.name, 0))
             for edge in self.edges
             if edge.name not in self._lonely
         }
+        if calm_since <= now:
+            in_touch = [edge for edge in self.edges if judged.get(edge.process, now + 1) <= now]
+            required = {edge.process: edge.required_weights(MODEL) for edge in in_touch}
+            self.referee.judge_weights(now, calm_since, required)
         for edge in self.edges:
             edge.look()
         is_judged = calm_since <= now and not any(operator.answers_lost for operator in self.operators)
@@ -224,7 +249,8 @@
         kind = self.rng.choices(kinds, weights)[0]
         if getattr(self, f"_{kind}")():
             self.figures[f"faults_{kind}"] += 1
-            self._unsettled_at = self.world.now
+            if kind not in EDGE_FAULTS:
+                self._unsettled_at = self.world.now
         pause = self.rng.randint(1, 2 * self.scenario.fault_pause_ns)
         self.world.at(self.world.now + pause, None, self._inject)
 
@@ -324,6 +350,10 @@
         self.rng.choice(self.edges).start()
         return True
 
+    def _freeze_edge(self) -> bool:
+        self.rng.choice(self.edges).freeze(self.rng.randint(200 * NS_PER_MS, 12 * NS_PER_S))
+        return True
+
     def _seeds(self) -> list[str]:
         """The control planes that the operator's list names: those of the first start, or those that run."""
         running = [core for core in self.cores if core.up] if self.world.now > START_SPREAD_NS else []
--- a/iristrack/simulation/control_referee.py
+++ b/iristrack/simulation/control_referee.py
@@ -7,6 +7,8 @@
 - a read, and the last state, is no older than what was acknowledged before the read was sent;
 - what a sidecar goes by never becomes older within one start of it, and what it counts as confirmed is no older than
   what had been acknowledged `CONFIRM_NS` before;
+- `WEIGHTS_NS` after weights were named, in calm times, no sidecar in touch lets work begin on older ones, whatever was
+  named meanwhile and whenever it heard of it;
 - in calm times every sidecar goes by a configuration `APPLY_NS` after its acknowledgement, and every order has a clear
   answer `ACK_NS` after it was sent.
 """
@@ -19,6 +21,7 @@
 APPLY_NS = 2000 * NS_PER_MS
 ACK_NS = 8000 * NS_PER_MS
 CONFIRM_NS = 2000 * NS_PER_MS
+WEIGHTS_NS = 7600 * NS_PER_MS  # of 8,000 ms that the settings allow
 
 
 @dataclass(slots=True)
@@ -51,6 +54,8 @@
     waiting: list[tuple[int, int]] = field(
         default_factory=list
     )  # (acknowledged at, revision), in force not everywhere
+    weights: dict[int, int] = field(default_factory=dict)  # named revision: when it was acknowledged
+    _late_weights: set[tuple[str, int]] = field(default_factory=set)  # (sidecar, revision) that were told of
 
     def violate(self, now: int, text: str) -> None:
         """Note what must not be."""
@@ -125,6 +130,20 @@
                 self.violate(now, f"order {order.number} has no clear answer")
                 order.sent_at = now
 
+    def named_weights(self, revision: int, now: int) -> None:
+        """An operator has got a 200 for naming a revision of the weights."""
+        self.weights.setdefault(revision, now)
+
+    def judge_weights(self, now: int, calm_since: int, required: dict[str, int]) -> None:
+        """Judge on which weights sidecars in touch let work begin; `required` names the oldest, by sidecar."""
+        over = [revision for revision, at in self.weights.items() if now >= max(at, calm_since) + WEIGHTS_NS]
+        least = max(over, default=0)
+        for sidecar, revision in required.items():
+            if revision < least and (sidecar, least) not in self._late_weights:
+                self._late_weights.add((sidecar, least))
+                named_at = self.weights[least] / 1e9
+                self.violate(now, f"{sidecar} begins work on {revision}, {least} was named at {named_at:.3f}")
+
     def judge_end(self, taken: list[tuple[int, str]], now: int) -> None:
         """Judge the chain of all that was taken, as it stands when all faults have ended."""
         chain = set(taken)
--- a/tests/simulation/test_control.py
+++ b/tests/simulation/test_control.py
@@ -9,6 +9,7 @@
 from iristrack.controlplane import changes, operator_api, register_host
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.dataplane.core_view import CoreView
+from iristrack.engines.named_weights import NamedWeights
 from iristrack.register import Refuse, Unchanged
 from iristrack.relay.catch_up import CatchUp
 from iristrack.simulation.control import SCENARIOS, Scenario, first_violation, main, run_seed
@@ -89,6 +90,15 @@
     """A disk that refused a record once is never tried again."""
 
 
+def one_moment_for_a_model(self, model, now, allowance_ns):
+    named = self._named.get(model, ())
+    return named[-1].revision if named and now - named[-1].named_at >= allowance_ns else 0
+
+
+def hear_no_ages(self, ages, now):
+    """The allowance counts from hearing."""
+
+
 RESTARTED_BESIDE_THE_MINORITY = replace(
     SCENARIOS["cut_off_three"], faults=(("cut", 1),), cut_hows=("edges",), duration_ns=SHORT_NS
 )
@@ -132,6 +142,14 @@
         POWER_LOST_AMONG_SLOW_SYNCS,
         [(RegisterHost, "_vote", planted_faults.reply_before_record)],
     ),
+    "weights: a later revision sets the clock of an earlier one back": (
+        SCENARIOS["weights"],
+        [(NamedWeights, "required", one_moment_for_a_model)],
+    ),
+    "weights: the allowance counts from hearing": (
+        SCENARIOS["weights"],
+        [(NamedWeights, "heard_ages", hear_no_ages)],
+    ),
     "4 a disk that refused once is never tried again": (
         SCENARIOS["bad_disks"],
         [(RegisterHost, "_try_disk_later", stay_silent)],
@@ -186,6 +204,8 @@
     referee.confirmed("edge/1", 4, 10**12)
     referee.judge_time(10**12, 0, {"edge/1": 0})
     referee.judge_end([(5, "d2"), (3, "x")], 10**12)
+    referee.named_weights(2, 10)
+    referee.judge_weights(10**12, 0, {"edge/1": 1, "edge/2": 2})
     told = " ".join(referee.violations)
     for part in (
         "both taken on 0",
@@ -197,6 +217,7 @@
         "no clear answer",
         "order 1 was acknowledged and is lost",
         "does not rise",
+        "edge/1 begins work on 1, 2 was named",
     ):
         assert part in told, part
 
