Judge a simulation's orders as far back as the history reaches

Cause: a run of 90 virtual seconds acknowledged 1,383 orders, and the referee called 359 of them lost: just those beyond the 1,024 that the register's value remembers.

--- a/iristrack/simulation/control_referee.py
+++ b/iristrack/simulation/control_referee.py
@@ -144,10 +144,15 @@
                 named_at = self.weights[least] / 1e9
                 self.violate(now, f"{sidecar} begins work on {revision}, {least} was named at {named_at:.3f}")
 
-    def judge_end(self, taken: list[tuple[int, str]], now: int) -> None:
-        """Judge the chain of all that was taken, as it stands when all faults have ended."""
+    def judge_end(self, taken: list[tuple[int, str]], now: int, begins_at: int = 0) -> None:
+        """Judge the chain of what was taken, as it stands when all faults have ended.
+
+        `begins_at` is the oldest revision that the chain still holds; earlier orders are not judged by it.
+        """
         chain = set(taken)
         for order in self.orders.values():
+            if order.revision < begins_at:
+                continue
             is_taken = (order.revision, order.digest) in chain
             if order.acknowledged_at is not None and not is_taken:
                 self.violate(now, f"order {order.number} was acknowledged and is lost")
--- a/tests/simulation/test_control.py
+++ b/tests/simulation/test_control.py
@@ -46,6 +46,17 @@
     assert (first.figures, first.lines) == (second.figures, second.lines)
 
 
+def test_orders_that_the_history_holds_no_more_are_not_judged_by_it() -> None:
+    referee = Referee()
+    old, new = order(1, 0, 5), order(2, 5, 9)
+    referee.orders = {1: old, 2: new}
+    referee.acknowledged(old, 10)
+    referee.acknowledged(new, 20)
+    referee.judge_end([(8, "x")], 30, begins_at=8)
+    assert [text for text in referee.violations if "order 1" in text] == []
+    assert "order 2 was acknowledged and is lost" in referee.violations[0]
+
+
 # ---- planted faults, at least one for each point
 
 
