--- a/iristrack/standin/soak/__main__.py
+++ b/iristrack/standin/soak/__main__.py
@@ -16,20 +16,61 @@
 
 from iristrack.standin.soak.run import Sizes, SoakResult, soak
 
-MOST_EDGES = 120
+MOST_SEEDS = 10_000
 MOST_JOBS = 16
+MOST_CORES = 9
+MOST_EDGES = 120
+MOST_SERVERS = 64
+MOST_CLIENTS = 400
+MOST_SECONDS = 3600
+LEAST_GAP_S = 0.01
+EXIT_FOUND = 1
+EXIT_UNUSABLE = 2
+EXIT_STOPPED = 130
 
 
 def main() -> int:
     """Run the soaks; returns the exit status."""
     chosen = _parser().parse_args()
-    if not 1 <= chosen.edges <= MOST_EDGES or not 1 <= chosen.jobs <= MOST_JOBS or chosen.seeds < 1:
-        print(f"soak: 1 to {MOST_EDGES} edges, 1 to {MOST_JOBS} jobs, one seed or more", file=sys.stderr)
-        return 2
+    fault = _fault(chosen)
+    if fault is not None:
+        print(f"soak: {fault}", file=sys.stderr)
+        return EXIT_UNUSABLE
     sizes = Sizes(chosen.cores, chosen.edges, chosen.servers, chosen.clients, chosen.seconds, chosen.gap)
     seeds = range(chosen.first, chosen.first + chosen.seeds)
+    try:
+        failed = _play(seeds, sizes, chosen.jobs)
+    except KeyboardInterrupt:
+        print("soak: stopped", file=sys.stderr)
+        return EXIT_STOPPED
+    print(f"{len(seeds)} seeds, {failed} with findings")
+    return EXIT_FOUND if failed else 0
+
+
+def _fault(chosen: argparse.Namespace) -> str | None:
+    """What is wrong with the arguments, in one line; None where nothing is."""
+    bounds = {
+        "jobs": MOST_JOBS,
+        "cores": MOST_CORES,
+        "edges": MOST_EDGES,
+        "servers": MOST_SERVERS,
+        "clients": MOST_CLIENTS,
+        "seeds": MOST_SEEDS,
+    }
+    for name, most in bounds.items():
+        if not 1 <= getattr(chosen, name) <= most:
+            return f"--{name} takes 1 to {most}"
+    if not 0 < chosen.seconds <= MOST_SECONDS:
+        return f"--seconds takes more than 0, up to {MOST_SECONDS}"
+    if not LEAST_GAP_S <= chosen.gap <= MOST_SECONDS:
+        return f"--gap takes {LEAST_GAP_S} to {MOST_SECONDS}"
+    return None
+
+
+def _play(seeds: range, sizes: Sizes, jobs: int) -> int:
+    """Play the seeds and print what came of each; how many had findings."""
     failed = 0
-    with ProcessPoolExecutor(chosen.jobs) as pool:
+    with ProcessPoolExecutor(jobs) as pool:
         running = [pool.submit(_one, seed, sizes) for seed in seeds]
         for future in as_completed(running):
             result = future.result()
@@ -39,13 +80,15 @@
                 print(f"  FOUND {text}", flush=True)
             if result.found:
                 print(f"  logs in {result.folder}", flush=True)
-    print(f"{len(seeds)} seeds, {failed} with findings")
-    return 1 if failed else 0
+    return failed
 
 
 def _one(seed: int, sizes: Sizes) -> SoakResult:
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    return soak(seed, sizes, folder)
+    try:
+        return soak(seed, sizes, folder)
+    except KeyboardInterrupt:  # Ctrl-C reaches these processes too; the system has been ended by then
+        return SoakResult(seed, "stopped", (), folder)
 
 
 def _parser() -> argparse.ArgumentParser:
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -13,6 +13,7 @@
 import pytest
 
 from iristrack.standin.ledger import Arrival, Ledger
+from iristrack.standin.soak.__main__ import EXIT_UNUSABLE, main
 from iristrack.standin.soak.findings import CONTACT_S, judge
 from iristrack.standin.soak.run import Sizes, soak
 from iristrack.standin.soak.traffic import Kind, Try
@@ -29,6 +30,27 @@
     assert not result.found, f"{result.summary}\n" + "\n".join(result.found)
 
 
+# ---- the command
+
+
+@pytest.mark.parametrize(
+    ("words", "named"),
+    [
+        (("--jobs", "0"), "--jobs"),
+        (("--cores", "-3"), "--cores"),
+        (("--seconds", "0"), "--seconds"),
+        (("--gap", "0"), "--gap"),
+    ],
+)
+def test_an_argument_that_cannot_be_used_is_named(
+    words: tuple[str, ...], named: str, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture
+) -> None:
+    monkeypatch.setattr("sys.argv", ["soak", *words])
+    assert main() == EXIT_UNUSABLE
+    (line,) = capsys.readouterr().err.splitlines()
+    assert line.startswith(f"soak: {named} takes ")
+
+
 # ---- the judgement
 
 
