--- a/iristrack/standin/soak/troubles.py
+++ b/iristrack/standin/soak/troubles.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Spell:
+class Disturbance:
     """A time in which a machine or a server was in unplanned trouble; monotonic seconds."""
 
     name: str
@@ -39,19 +39,19 @@
 class History:
     """What was done to the system, and what was acknowledged."""
 
-    spells: list[Spell] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
     named: dict[int, float] = field(default_factory=dict)  # revision of weights: when it was acknowledged
     revision: int = 1  # of the newest acknowledged configuration
     findings: list[str] = field(default_factory=list)
     counts: dict[str, int] = field(default_factory=dict)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
-    def add(self, spell: Spell) -> None:
+    def add_disturbance(self, disturbance: Disturbance) -> None:
         """A trouble has ended."""
         with self.lock:
-            self.spells.append(spell)
+            self.disturbances.append(disturbance)
 
-    def find(self, text: str) -> None:
+    def add_finding(self, text: str) -> None:
         """Something that must not be."""
         with self.lock:
             self.findings.append(text)
@@ -64,28 +64,23 @@
     def disturbed(self, name: str, begun: float, ended: float) -> bool:
         """Was it in unplanned trouble at any time between these?"""
         with self.lock:
-            return any(s.name == name and s.begun <= ended and begun <= s.ended for s in self.spells)
+            return any(s.name == name and s.begun <= ended and begun <= s.ended for s in self.disturbances)
 
 
 def document(revision: int) -> Document:
     """The configuration with a route for each kind of request, and one that names the revision."""
-    rows = [
-        route(
-            HOST,
-            f"/{kind.value}/",
-            CHAT,
-            "streaming" if kind.streaming else _route_kind(kind),
-            timeout_ms=15_000,
-        )
-        | {"resumable": kind is Kind.RESUMABLE}
-        for kind in Kind
-    ]
+    rows = [_route(kind) for kind in Kind]
     rows.append(route(HOST, f"/v{revision}/", CHAT, "safe", public=True))
     return configuration(revision, rows, [service(CHAT, MODEL)], [tenant("north", KEY)])
 
 
-def _route_kind(kind: Kind) -> str:
-    return "safe" if kind is Kind.SAFE else "unsafe"
+def _route(kind: Kind) -> Document:
+    if kind.streaming:
+        route_kind = "streaming"
+    else:
+        route_kind = "safe" if kind is Kind.SAFE else "unsafe"
+    resumable = kind is Kind.RESUMABLE
+    return route(HOST, f"/{kind.value}/", CHAT, route_kind, timeout_ms=15_000, resumable=resumable)
 
 
 class Troubles:
@@ -132,7 +127,7 @@
         try:
             self._kinds[name][1](draw)
         except (NeverCame, OSError) as fault:
-            self.history.find(f"{name}: {fault}")
+            self.history.add_finding(f"{name}: {fault}")
 
     # ---- processes
 
@@ -177,7 +172,7 @@
                 _pause(SERIES_PAUSE_S)
             status = machine.wait_exit(EXIT_PATIENCE_S)
             if status != 0:
-                self.history.find(f"{machine.name} ended with {status} at SIGTERM")
+                self.history.add_finding(f"{machine.name} ended with {status} at SIGTERM")
             self._start(machine)
 
         self._alone(machine, act)
@@ -192,7 +187,7 @@
             machine.kill()
             _pause(down_s)
             self._start(machine)
-            self.history.add(Spell(machine.name, "kill", begun, time.monotonic()))
+            self.history.add_disturbance(Disturbance(machine.name, "kill", begun, time.monotonic()))
 
         self._alone(machine, act)
 
@@ -205,7 +200,7 @@
             machine.send_signal(signal.SIGSTOP)
             _pause(for_s)
             machine.send_signal(signal.SIGCONT)
-            self.history.add(Spell(machine.name, "freeze", begun, time.monotonic()))
+            self.history.add_disturbance(Disturbance(machine.name, "freeze", begun, time.monotonic()))
 
         self._alone(machine, act)
 
@@ -218,7 +213,7 @@
 
     def _look(self, machine: Machine) -> None:
         if not machine.running:
-            self.history.find(f"{machine.name} has ended by itself with {machine.process.returncode}")
+            self.history.add_finding(f"{machine.name} has ended by itself with {machine.process.returncode}")
 
     # ---- the operator
 
@@ -232,7 +227,7 @@
             else:
                 answer = operator.replace(document(revision), base)
             if answer.status != 200:
-                self.history.find(f"configuration {revision} on {base} was answered {answer.status}")
+                self.history.add_finding(f"configuration {revision} on {base} was answered {answer.status}")
             self.history.revision = revision
 
     def _name_version(self, draw: random.Random) -> None:
@@ -240,7 +235,7 @@
             revision = max(self.history.named, default=1) + 1
             answer = self.system.operator.name_version(MODEL, revision)
             if answer.status != 200:
-                self.history.find(f"weights {revision} were answered {answer.status}")
+                self.history.add_finding(f"weights {revision} were answered {answer.status}")
             self.history.named[revision] = time.monotonic()
 
     # ---- servers
@@ -281,7 +276,7 @@
         back = self.system.new_model_server(CHAT, MODEL, revision=lost.weights.revision)
         self.system.platform.add(back)
         self.system.platform.remove(lost)
-        self.history.add(Spell(lost.instance_id, "crash", begun, float("inf")))
+        self.history.add_disturbance(Disturbance(lost.instance_id, "crash", begun, float("inf")))
 
 
 def _pause(seconds: float) -> None:
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -17,7 +17,7 @@
 from iristrack.standin.soak.findings import CONTACT_S, judge
 from iristrack.standin.soak.run import Sizes, soak
 from iristrack.standin.soak.traffic import Kind, Try
-from iristrack.standin.soak.troubles import History, Spell
+from iristrack.standin.soak.troubles import Disturbance, History
 
 SIZES = Sizes(edges=3, clients=12, seconds=10.0, gap_s=0.2)
 BOUND_S = 5.0
@@ -106,7 +106,7 @@
 def test_a_cut_is_excused_by_unplanned_trouble_at_its_own_machines(
     name: str, begun: float, sound: bool
 ) -> None:
-    history = History(spells=[Spell(name, "kill", begun, begun + 1.2)])
+    history = History(disturbances=[Disturbance(name, "kill", begun, begun + 1.2)])
     assert bool(found(asked(whole=False), arrived(), history=history)) is not sound
 
 
@@ -117,8 +117,8 @@
     (finding,) = found(one, arrived(at=10.0), history=history)
     assert "began on weights 1, 6.000 s after" in finding
     assert found(one, arrived(at=10.0, revision=2), history=history) == []
-    frozen = Spell(EDGE, "freeze", 1.0, one.sent_at - CONTACT_S)
-    assert found(one, arrived(at=10.0), history=replace(history, spells=[frozen])) == []
+    frozen = Disturbance(EDGE, "freeze", 1.0, one.sent_at - CONTACT_S)
+    assert found(one, arrived(at=10.0), history=replace(history, disturbances=[frozen])) == []
 
 
 def test_a_system_that_serves_hardly_anything_is_found() -> None:
