--- a/iristrack/standin/soak/troubles.py
+++ b/iristrack/standin/soak/troubles.py
@@ -23,6 +23,12 @@
 LEAVING_S = 1.0  # a server that leaves is on the list as draining for so long
 SERIES = (1, 1, 2, 4)  # signals in a row
 SERIES_PAUSE_S = 0.05
+ROUTE_KINDS = {
+    Kind.PLAIN: "unsafe",
+    Kind.SAFE: "safe",
+    Kind.STREAM: "streaming",
+    Kind.RESUMABLE: "streaming",
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,12 +81,8 @@
 
 
 def _route(kind: Kind) -> Document:
-    if kind.streaming:
-        route_kind = "streaming"
-    else:
-        route_kind = "safe" if kind is Kind.SAFE else "unsafe"
     resumable = kind is Kind.RESUMABLE
-    return route(HOST, f"/{kind.value}/", CHAT, route_kind, timeout_ms=15_000, resumable=resumable)
+    return route(HOST, f"/{kind.value}/", CHAT, ROUTE_KINDS[kind], timeout_ms=15_000, resumable=resumable)
 
 
 class Troubles:
