Count a member as connected once it has spoken, so that a frozen one is replaced

Cause: a frozen process's machine goes on taking connections. Each time it was dialled anew, after 1.6 s of silence, the member counted as connected and the 1.5 s after which a spare takes a place began anew: no spare ever did.

Change: connected is who has spoken on the present connection. The members' order and the choice of who fetches the list go by the same.

Result: a whole-program test (a member stopped for good, a spare, then one more loss) and a test of the dialer, both seen to fail without the change.

--- a/iristrack/wire/dialing.py
+++ b/iristrack/wire/dialing.py
@@ -83,8 +83,8 @@
 
     @property
     def connected(self) -> bool:
-        """Is there a connection? A frozen process's machine takes one too, which ends once it has been silent."""
-        return self.connection is not None
+        """Is there a connection on which the peer has spoken? A frozen process's machine takes connections too."""
+        return self.connection is not None and self.connection.has_spoken
 
     def heard_within(self, ns: int) -> bool:
         """Has the peer answered on this connection so lately?"""
@@ -184,5 +184,5 @@
         return [address for address, dialer in self.dialers.items() if dialer.heard_within(ns)]
 
     def connected(self) -> int:
-        """How many have a connection."""
+        """How many have a connection on which the peer has spoken."""
         return sum(dialer.connected for dialer in self.dialers.values())
--- a/tests/controlplane/test_peer_connections.py
+++ b/tests/controlplane/test_peer_connections.py
@@ -142,11 +142,13 @@
         lambda connection, message: None,
     )
     dialers.follow([address])
-    loop.turn_until(lambda: dialers.connected() == 1)
+    loop.turn_until(lambda: dialers.dialers[address].connection is not None)
     assert dialers.heard_within(PATIENCE_NS) == []
+    assert dialers.connected() == 0
     peer, _ = silent.accept()
     peer.sendall(encode(BEAT))
     loop.turn_until(lambda: dialers.heard_within(PATIENCE_NS) == [address])
+    assert dialers.connected() == 1
     dialers.follow([])
     loop.turns(5)
     peer.close()
--- a/tests/system/test_core_losses.py
+++ b/tests/system/test_core_losses.py
@@ -161,6 +161,20 @@
         assert wait_until(lambda core=core: _read_once(core), f"an answer of {core.name}") == document
 
 
+def test_a_spare_takes_the_place_of_a_member_that_is_frozen_for_good(system: System) -> None:
+    """The machine of a frozen process goes on taking connections: it counted as connected whenever it was dialled."""
+    frozen, *others = system.cores
+    assert system.operator.replace(version(2), 1).status == 200
+    frozen.send_signal(signal.SIGSTOP)
+    spare = system.new_core()
+    spare.start()
+    wait_until(lambda: VOTING in spare.log(), "the vote of the spare")
+    others[0].kill()
+    assert system.operator.replace(version(3), 2, first=spare.control).status == 200
+    frozen.send_signal(signal.SIGCONT)  # it votes no more, and knows what it missed
+    assert wait_until(lambda: _read_once(frozen), "an answer of the one that thaws") == version(3)
+
+
 def _read_once(core: Machine) -> Document | None:
     try:
         answer = call_once(core.control, type(replace_call(b"", 0))("GET", "/config/read"))
