Catch signals before the imports and ignore them once the loop has ended

Both programs import their modules inside the block.

A signal before Python itself has started still ends the process.

--- a/iristrack/cli/controlplane.py
+++ b/iristrack/cli/controlplane.py
@@ -1,20 +1,15 @@
-"""The control plane's program: `python3 -m iristrack.cli.controlplane`."""
+"""The control plane's program: `python3 -m iristrack.cli.controlplane`.
+
+Its modules are imported once signals are caught, as that takes most of a start.
+"""
 
 from __future__ import annotations
 
 import argparse
+import socket
 import sys
 
-from iristrack.cli.settings_file import (
-    EXIT_BAD_SETTINGS,
-    EXIT_NO_ADDRESS,
-    configure_log,
-    reload_settings,
-    settings_or_exit,
-)
-from iristrack.controlplane.program import ControlPlane
-from iristrack.runtime.signals import catch_signals
-from iristrack.store.cells import CellsError
+from iristrack.runtime.signals import caught_signals
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -24,7 +19,21 @@
         description="Keep the configuration and hand it on, by the settings file that IRISTRACK_CONFIG names.",
     )
     parser.parse_args(arguments)
-    signals = catch_signals()
+    with caught_signals() as signals:
+        return _serve(signals)
+
+
+def _serve(signals: socket.socket) -> int:
+    from iristrack.cli.settings_file import (
+        EXIT_BAD_SETTINGS,
+        EXIT_NO_ADDRESS,
+        configure_log,
+        reload_settings,
+        settings_or_exit,
+    )
+    from iristrack.controlplane.program import ControlPlane
+    from iristrack.store.cells import CellsError
+
     settings = settings_or_exit("controlplane")
     log = configure_log(settings)
     if settings.data_dir is None:
--- a/iristrack/cli/dataplane.py
+++ b/iristrack/cli/dataplane.py
@@ -1,13 +1,15 @@
-"""The data plane's program: `python3 -m iristrack.cli.dataplane`."""
+"""The data plane's program: `python3 -m iristrack.cli.dataplane`.
+
+Its modules are imported once signals are caught, as that takes most of a start.
+"""
 
 from __future__ import annotations
 
 import argparse
+import socket
 import sys
 
-from iristrack.cli.settings_file import EXIT_NO_ADDRESS, configure_log, reload_settings, settings_or_exit
-from iristrack.dataplane.program import DataPlane, raise_descriptor_limit
-from iristrack.runtime.signals import catch_signals
+from iristrack.runtime.signals import caught_signals
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -17,7 +19,19 @@
         description="Route clients' requests to model servers, by the settings file that IRISTRACK_CONFIG names.",
     )
     parser.parse_args(arguments)
-    signals = catch_signals()
+    with caught_signals() as signals:
+        return _serve(signals)
+
+
+def _serve(signals: socket.socket) -> int:
+    from iristrack.cli.settings_file import (
+        EXIT_NO_ADDRESS,
+        configure_log,
+        reload_settings,
+        settings_or_exit,
+    )
+    from iristrack.dataplane.program import DataPlane, raise_descriptor_limit
+
     settings = settings_or_exit("dataplane")
     log = configure_log(settings)
     raise_descriptor_limit(settings.limits.max_fds)
