Name the newcomer's disk in the member set, and serve no other from a leaving member

Cause: a member that is replaced served the first process of its successor that reached it.

Change: each core machine draws a name for its disk when it first writes to it, and tells it in `Hello` (schema 2). A proposal that lets a machine in names that disk (`MembersValue.joining_disk`, schema 4), a recovery names the disk that it fills (`Prepare.disk`, schema 3), and a leaving member serves the named disk alone, or nobody where none is named.

--- a/iristrack/controlplane/founding.py
+++ b/iristrack/controlplane/founding.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from iristrack.controlplane.changes import Change, Outcome
 from iristrack.controlplane.register_host import RegisterHost
@@ -47,7 +47,7 @@
         scheduler: Scheduler,
         register: RegisterHost,
         seeds: tuple[str, ...],
-        reporting: Callable[[], set[str]],
+        reporting: Callable[[], Collection[str]],
         on_founded: Callable[[], None],
     ) -> None:
         """`reporting` names the core machines that are connected; starts with the next turn of the loop."""
--- a/iristrack/controlplane/member_changes.py
+++ b/iristrack/controlplane/member_changes.py
@@ -12,7 +12,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.register import (
@@ -44,13 +45,13 @@
         scheduler: Scheduler,
         register: RegisterHost,
         connected: Callable[[], list[str]],
-        reporting: Callable[[], set[str]],
+        reporting: Callable[[], Mapping[str, str]],
         in_quorum: Callable[[], bool],
         publish: Callable[[MembersValue], None],
         log,
         first_start: bool = False,
     ) -> None:
-        """`connected` names the members in touch, this one among them; `reporting` all core machines in touch.
+        """`connected` names the members in touch, this one among them; `reporting` all core machines, with their disks.
 
         `in_quorum`: has a quorum of the members answered lately, this one among them? `first_start`: the whole system
         starts for the first time, as the settings say.
@@ -93,7 +94,8 @@
         now = self.scheduler.now()
         try:
             added_ns = LATE_FOUNDER_NS if now < self._founding_until else ADDED_NS
-            proposed = self._succession.next_set(members, connected, self.reporting(), now, added_ns)
+            reporting = self.reporting()
+            proposed = self._succession.next_set(members, connected, reporting, now, added_ns)
         except MemberSetError as fault:
             self.log.warning("no change of members", reason=str(fault))
             return
@@ -103,7 +105,7 @@
         if self._wanted_since is None:
             self._wanted_since = now
         if now - self._wanted_since >= connected.index(self.register.name) * TURN_NS:
-            self._propose(members, proposed)
+            self._propose(members, replace(proposed, joining_disk=reporting.get(proposed.joining, "")))
 
     def _hand_over(self, deadline: int, on_done: Callable[[], None]) -> None:
         while self.scheduler.now() < deadline:
@@ -115,11 +117,12 @@
 
     def _hand_over_to(self, members: MembersValue) -> bool:
         """Propose a successor in this process's place; whether there was one to propose."""
-        waiting = sorted(self.reporting() - set(members.members))
+        disks = self.reporting()
+        waiting = sorted(disks.keys() - set(members.members))
         is_bound = self.register.founded and self.register.voting and self.register.is_member
         if not is_bound or not waiting or not self.in_quorum():
             return False
-        self._propose(members, replaced(members, self.register.name, waiting[0]))
+        self._propose(members, replaced(members, self.register.name, waiting[0], disks[waiting[0]]))
         return True
 
     def _propose(self, members: MembersValue, proposed: MembersValue) -> None:
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -264,11 +264,11 @@
     def _is_founder(self) -> bool:
         return self.settings.bootstrap and self.address in self._seeds()
 
-    def _reporting_core(self) -> set[str]:
-        """All core machines that have said something lately."""
+    def _reporting_core(self) -> dict[str, str]:
+        """The names of the disks of all core machines that have said something lately, by their addresses."""
         least = self.scheduler.now() - LATELY_NS
         return {
-            hello.address
+            hello.address: hello.disk
             for connection, hello in self.peer_book.open()
             if hello.role == CORE_ROLE and connection.heard_at >= least
         }
@@ -300,6 +300,7 @@
             settings.region,
             self.address,
             self.register.incarnation,
+            self.register.disk,
         )
 
     def _heartbeat(self) -> Heartbeat:
--- a/iristrack/controlplane/register_host.py
+++ b/iristrack/controlplane/register_host.py
@@ -48,6 +48,8 @@
 from iristrack.wire.values import decode_value, encode_value
 
 MEMBERS_BLOB = "members"
+DISK_BLOB = "disk"  # the disk's name
+DISK_BITS = 64
 PROPOSER_BITS = 48  # of a process's name as a proposer,
 INCARNATION_BITS = 64  # and of an acceptor's incarnation
 DISK_RETRY_NS = 500_000_000  # between two tries of a disk that refused a record
@@ -117,6 +119,18 @@
         if self.member_set.members and opened.identity is not None and opened.identity.incarnation:
             cells = {key: Cell(r.promised, r.accepted, r.value) for key, r in opened.cells.items()}
             self.acceptor = self._make_acceptor(opened.identity.incarnation, cells)
+        self.disk = opened.blobs.get(DISK_BLOB, b"").decode() or self._name_disk()
+
+    def _name_disk(self) -> str:
+        """Draw the name of this disk, and have it there before an acceptor votes from it.
+
+        It may be told before it is synced: if it is lost, so is whatever a later vote would have left there.
+        """
+        name = f"{self.rng.getrandbits(DISK_BITS):016x}"
+        if self.acceptor is None:
+            records = [IdentityRecord("", self.sync_node), BlobRecord(DISK_BLOB, name.encode())]
+            self.sync.submit(records, lambda ok: None)
+        return name
 
     def _make_acceptor(self, incarnation: str, cells: dict[str, Cell]) -> Acceptor:
         self._on_disk = dict(cells)
@@ -279,7 +293,7 @@
             return
         if retiring.voting and told.leaving == self.name:
             self._left = retiring
-            self._left.serve_successor(told.sequence)
+            self._left.serve_successor(told.sequence, told.joining_disk)
         self.log.info("retired", sequence=told.sequence, members=",".join(told.members))
         records = [IdentityRecord("", self.sync_node), BlobRecord(MEMBERS_BLOB, encode_value(told))]
         self.sync.submit(records, lambda ok: None)
@@ -292,7 +306,7 @@
         members = self.member_set
         incarnation = self._draw_incarnation()
         try:
-            decider = Recovery(self.name, self.identity, members, self.keys, self.rng)
+            decider = Recovery(self.name, self.identity, members, self.keys, self.rng, disk=self.disk)
         except ValueError as fault:
             self.log.error("no recovery", reason=str(fault))
             return
--- a/iristrack/register/acceptor.py
+++ b/iristrack/register/acceptor.py
@@ -91,7 +91,7 @@
         self._cells = dict(cells)
         self._keys = frozenset(keys) | {RECOVERY_KEY}
         self._is_replaced = False
-        self._successor = ""  # the process that reads from this acceptor since it was replaced
+        self._successor_disk = ""  # the disk that may be filled from this acceptor since it was replaced
 
     @property
     def incarnation(self) -> str:
@@ -111,18 +111,20 @@
             return None
         return self.cell(key)
 
-    def serve_successor(self, member_sequence: int) -> None:
-        """Vote no more, and let the process that takes this acceptor's place in that set read what it holds.
+    def serve_successor(self, member_sequence: int, disk: str) -> None:
+        """Vote no more, and let the member that takes this acceptor's place in that set read what it holds.
 
-        That is the first process that asks. Another one of the same member may have lost a disk on which it had voted
-        in the new set already, and has to read that from the new set's members alone (`member_set.py`).
+        It may do so for the disk that the set names, and for no other: a member that asks for another one may have lost
+        the disk on which it had voted in the new set already, and has to read from the new set's members alone
+        (`member_set.py`). Where the set names no disk, nobody is served.
         """
         self.member_sequence = member_sequence
         self._is_replaced = True
+        self._successor_disk = disk
 
     def handle_prepare(self, prepare: Prepare) -> Outcome:
         """Promise the ballot unless a higher one was promised; the same one is promised again."""
-        if not self._votes_on(prepare.key, prepare.members) or not self._may_read(prepare.ballot.proposer):
+        if not self._votes_on(prepare.key, prepare.members) or not self._may_read(prepare.disk):
             return Outcome(None, self._promise(prepare, EMPTY_CELL, granted=False))
         cell = self.cell(prepare.key)
         if prepare.ballot < cell.promised or prepare.ballot == NO_BALLOT:
@@ -150,11 +152,10 @@
     def _votes_on(self, key: str, member_sequence: int) -> bool:
         return self.voting and key in self._keys and member_sequence == self.member_sequence
 
-    def _may_read(self, proposer: str) -> bool:
+    def _may_read(self, disk: str) -> bool:
         if not self._is_replaced:
             return True
-        self._successor = self._successor or proposer
-        return proposer == self._successor
+        return disk != "" and disk == self._successor_disk
 
     def _may_accept(self, accept: Accept, cell: Cell) -> bool:
         if accept.ballot < cell.promised or accept.ballot == NO_BALLOT:
--- a/iristrack/register/member_set.py
+++ b/iristrack/register/member_set.py
@@ -15,10 +15,12 @@
 one that goes by T and refuses S from then on. So a round under S either ended at C before, and B's reads, which come
 after, see it as the reads of a recovery see a first round that ended before the disk was lost; or it cannot end. A may
 have its disk and vote under S for ever, having heard of nothing: no quorum of S can be had without such a C. A that has
-granted has T on its disk, as the grant waited for that record, and never votes under S again. It grants to one process
-of B alone, the first that asks: if B votes, and loses its disk before the set is settled, what it had accepted under T
-may be held by one other member and is not known to A. B's next process reads from N // 2 + 1 members of T then, which
-meet T's quorums as those of any recovery do.
+granted has T on its disk, as the grant waited for that record, and never votes under S again. It grants to one disk of
+B alone, which T names: if B votes, and loses its disk before the set is settled, what it had accepted under T may be
+held by one other member and is not known to A. B then asks for another disk, is refused by A, and reads from N // 2 + 1
+members of T, which meet T's quorums as those of any recovery do. A process of B that starts on the named disk and has
+to recover has never voted under T: the disk's name is written before, in the same file, and the identity of a voting
+acceptor last. So it may read from A however often it starts.
 
 *B is added* (M = N + 1). A quorum of S has N // 2 + 1 of N members, R has (M + 1) // 2 = N // 2 + 1 of the same N: they
 meet.
@@ -58,14 +60,17 @@
     return len(members.members) // 2 + 1
 
 
-def replaced(members: MembersValue, old: str, new: str) -> MembersValue:
-    """The set with `new` in the place of `old`; raises `MemberSetError`."""
+def replaced(members: MembersValue, old: str, new: str, new_disk: str = "") -> MembersValue:
+    """The set with `new` in the place of `old`; raises `MemberSetError`.
+
+    `new_disk` names the disk for which `new` may read from `old`; without it, it reads from the others alone.
+    """
     if members.joining not in ("", old):
         raise MemberSetError(f"{members.joining} has not recovered yet")
     if old not in members.members or new in members.members:
         raise MemberSetError(f"{old} is no member, or {new} is one")
     kept = [member for member in members.members if member != old]
-    return MembersValue(members.sequence + 1, tuple(sorted([*kept, new])), new, old)
+    return MembersValue(members.sequence + 1, tuple(sorted([*kept, new])), new, old, new_disk)
 
 
 def added(members: MembersValue, new: str) -> MembersValue:
--- a/iristrack/register/recovery.py
+++ b/iristrack/register/recovery.py
@@ -100,9 +100,13 @@
         keys: tuple[str, ...],
         rng: random.Random,
         pace: RecoveryPace | None = None,
+        *,
+        disk: str = "",
     ) -> None:
         """Prepare the recovery; `members` are all members with this one, `keys` all registers that exist.
 
+        `disk` names the disk that is filled; the member whose place this acceptor takes goes by it.
+
         Raises ValueError where the other members are too few to recover from. One that joins can do with all others.
         """
         self.member_sequence = members.sequence
@@ -113,6 +117,7 @@
         if len(self.others) < self.quorum:
             raise ValueError("too few other members to recover from")
         self._identity = identity
+        self._disk = disk
         self._keys = keys
         self._rng = rng
         self._pace = pace or RecoveryPace()
@@ -156,7 +161,9 @@
         self._reads = {}
         self._announce_call = self._identity.next_call()
         self._announcement = self._identity.next_ballot(RECOVERY_KEY)
-        prepare = Prepare(self._announce_call, RECOVERY_KEY, self._announcement, self.member_sequence)
+        prepare = Prepare(
+            self._announce_call, RECOVERY_KEY, self._announcement, self.member_sequence, self._disk
+        )
         effects: list[Effect] = [SendTo(member, prepare) for member in self.others]
         effects.append(self._set_timer(now))
         return effects
@@ -183,7 +190,7 @@
         call = self._identity.next_call()
         read = _Read(key, self._identity.next_ballot(key))
         self._reads[call] = read
-        prepare = Prepare(call, key, read.ballot, self.member_sequence)
+        prepare = Prepare(call, key, read.ballot, self.member_sequence, self._disk)
         return [SendTo(member, prepare) for member in self._incarnations]
 
     def _handle_read(self, promise: Promise, read: _Read) -> list[Effect]:
--- a/iristrack/simulation/explorer.py
+++ b/iristrack/simulation/explorer.py
@@ -110,6 +110,12 @@
     unsynced: list = field(default_factory=list)  # (record, receiver, reply) in the order of their writing
     gone: bool = False
     starts: int = 0
+    lost_disks: int = 0
+
+    @property
+    def disk(self) -> str:
+        """The name of its present disk."""
+        return f"{self.name}-disk{self.lost_disks}"
 
 
 @dataclass(slots=True)
@@ -340,6 +346,7 @@
         state.wipes -= 1
         machine = state.machines[name]
         machine.starts += 1
+        machine.lost_disks += 1
         machine.cells = {}
         others = [m.members for m in state.machines.values() if m is not machine]
         machine.members = max(others, key=lambda members: members.sequence)
@@ -358,14 +365,19 @@
             self._start(machine)
             return
         identity = ProposerIdentity(f"{machine.name}-r{machine.starts}")
-        machine.recovery = Recovery(machine.name, identity, machine.members, KEYS, NO_DRAWS)
+        machine.recovery = Recovery(
+            machine.name, identity, machine.members, KEYS, NO_DRAWS, disk=machine.disk
+        )
         self._perform(state, machine.name, machine.recovery.start(0))
 
     def _change_set(self, state: State) -> State:
         """The set is decided on at a quorum of the first one: those have it on their disks."""
         state = clone(state)
         first = MembersValue(FOUNDED, MEMBERS)
-        state.changed = added(first, SPARE) if self.scope.addition else replaced(first, MEMBERS[0], SPARE)
+        if self.scope.addition:
+            state.changed = added(first, SPARE)
+        else:
+            state.changed = replaced(first, MEMBERS[0], SPARE, state.machines[SPARE].disk)
         if self.scope.replacement:
             state.machines[MEMBERS[0]].gone = True
         return state
@@ -389,7 +401,7 @@
             if name in state.changed.members:
                 machine.acceptor.member_sequence = state.changed.sequence
             else:
-                machine.acceptor.serve_successor(state.changed.sequence)
+                machine.acceptor.serve_successor(state.changed.sequence, state.changed.joining_disk)
                 machine.incarnation = ""
         elif machine.recovery is not None and name in state.changed.members:
             self._begin_recovery(state, machine)
@@ -541,12 +553,13 @@
             m.members,
             m.gone,
             m.starts,
+            m.lost_disks,
             repr(m.unsynced),
             m.acceptor is not None
             and (
                 m.acceptor.member_sequence,
                 m.acceptor.incarnation,
-                m.acceptor._successor,
+                m.acceptor._successor_disk,
                 repr(sorted(m.acceptor._cells.items())),
             ),
             m.recovery is not None and _recovery_mark(m.recovery),
--- a/iristrack/simulation/register.py
+++ b/iristrack/simulation/register.py
@@ -239,22 +239,23 @@
         if self._changer is None:
             return False
         known = self._around.newest_set()
-        spares = [host.name for host in self.acceptors if host.up and host.name not in known.members]
+        spares = [host for host in self.acceptors if host.up and host.name not in known.members]
         if not spares:
             return False
         proposed = self._draw_change(known, self._rng.choice(spares))
         proposing = self._rng.choice([machine for machine in self.acceptors if machine.up])
         return proposed is not None and self._changer.begin(proposing, known, proposed)
 
-    def _draw_change(self, known: MembersValue, spare: str) -> MembersValue | None:
+    def _draw_change(self, known: MembersValue, spare: RegisterMachine) -> MembersValue | None:
         """A machine beside all, where so many may be lost already; or in another's place, where that one may be too."""
         unrecovered = set(self._unrecovered(known))
         try:
             if self._rng.random() < ADDED_SHARE and len(known.members) < self.scenario.acceptors + 2:
-                return added(known, spare) if len(unrecovered) <= self._bearable(known) else None
+                return added(known, spare.name) if len(unrecovered) <= self._bearable(known) else None
             if len(unrecovered - {known.joining}) >= self._bearable(known):
                 return None
-            return replaced(known, known.joining or self._rng.choice(known.members), spare)
+            old = known.joining or self._rng.choice(known.members)
+            return replaced(known, old, spare.name, spare.host.disk)
         except MemberSetError:
             return None
 
--- a/iristrack/simulation/register_machines.py
+++ b/iristrack/simulation/register_machines.py
@@ -126,7 +126,7 @@
             self.scheduler,
             self.host,
             lambda: list(self.host.members),  # nobody counts as silent: the simulation draws the changes
-            set,
+            dict,
             lambda: True,
             self.publish,
             log,
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -74,8 +74,8 @@
 
 
 KINDS = (  # a number is never used again; 9 was a view of the members
-    MessageKind(1, messages.Hello),
-    MessageKind(2, messages.Prepare, version=2),
+    MessageKind(1, messages.Hello, version=2),
+    MessageKind(2, messages.Prepare, version=3),
     MessageKind(3, messages.Promise, version=2),
     MessageKind(4, messages.Accept, version=2),
     MessageKind(5, messages.Accepted, version=2),
@@ -85,7 +85,7 @@
     MessageKind(10, messages.ConfigurationValue, version=2),
     MessageKind(11, messages.VersionsValue),
     MessageKind(12, messages.DutyValue),
-    MessageKind(13, messages.MembersValue, version=3),
+    MessageKind(13, messages.MembersValue, version=4),
     MessageKind(14, messages.BusyServers, version=2),
     MessageKind(15, messages.ServerLoads, version=2),
     MessageKind(16, messages.ServersValue),
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -33,6 +33,7 @@
     region: str
     address: str  # ip:port at which the sender accepts inner connections
     incarnation: str = ""  # of the acceptor; drawn anew when its disk is lost
+    disk: str = ""  # of a core machine: drawn when its disk is first written
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,7 @@
     key: str
     ballot: Ballot
     members: int = FOUNDED  # sequence of the member set that the sender goes by
+    disk: str = ""  # of a recovery: the disk that it fills
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +229,7 @@
     members: tuple[str, ...] = ()
     joining: str = ""  # the member that was let in last and has not read yet what the others hold
     leaving: str = ""  # whose place it takes: no member any more, it may be read from while it is there
+    joining_disk: str = ""  # the joining member's disk, for which alone the leaving one may be read from
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/controlplane/test_member_changes.py
+++ b/tests/controlplane/test_member_changes.py
@@ -90,9 +90,10 @@
 # ---- who proposes, and who leaves
 
 SPARE = "core:9"
+DISK = "spare-disk"
 
 
-def changing(core: Core, name: str, connected: list[str], waiting: set[str]) -> MemberChanges:
+def changing(core: Core, name: str, connected: list[str], waiting: dict[str, str]) -> MemberChanges:
     host = core.hosts[name]
 
     def publish(told: MembersValue) -> None:
@@ -119,16 +120,16 @@
     monkeypatch.setattr(succession, "REPORTED_NS", 1_000_000)
     core = Core()
     first, second, silent = MEMBERS
-    changing(core, second, [first, second], {SPARE})
+    changing(core, second, [first, second], {SPARE: DISK})
     core.run(lambda: wait_for(core, lambda: core.hosts[second].member_set.joining == SPARE))
-    assert core.hosts[first].member_set == replaced(FIRST, silent, SPARE)
+    assert core.hosts[first].member_set == replaced(FIRST, silent, SPARE, DISK)
 
 
 def test_a_member_that_leaves_hands_its_place_over_and_ends_when_the_newcomer_votes() -> None:
     core = Core()
     leaving, second, _ = MEMBERS
     ended = []
-    changes_here = changing(core, leaving, list(MEMBERS), {SPARE})
+    changes_here = changing(core, leaving, list(MEMBERS), {SPARE: DISK})
 
     def leave() -> None:
         changes_here.hand_over(clock() + PATIENCE_NS, lambda: ended.append(core.hosts[leaving].member_set))
@@ -147,7 +148,7 @@
 
 @pytest.mark.parametrize(
     ("connected", "waiting"),
-    [(list(MEMBERS), set()), (list(MEMBERS[:1]), {SPARE})],
+    [(list(MEMBERS), {}), (list(MEMBERS[:1]), {SPARE: DISK})],
     ids=["nobody waits", "no quorum to recover from"],
 )
 def test_a_member_that_cannot_hand_over_ends_at_once(connected, waiting) -> None:
@@ -167,7 +168,7 @@
 def test_a_handing_over_that_nobody_answers_ends_in_time() -> None:
     core = Core()
     ended = []
-    changes_here = changing(core, MEMBERS[0], list(MEMBERS), {SPARE})
+    changes_here = changing(core, MEMBERS[0], list(MEMBERS), {SPARE: DISK})
     core.cut = set(MEMBERS[1:])
 
     def leave() -> None:
--- a/tests/controlplane/test_register_host.py
+++ b/tests/controlplane/test_register_host.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from iristrack.controlplane.register_host import MEMBERS_BLOB, RegisterHost
-from iristrack.register import Cell
+from iristrack.controlplane.register_host import DISK_BLOB, MEMBERS_BLOB, RegisterHost
+from iristrack.register import RECOVERY_KEY, Cell
 from iristrack.relay import topics
 from iristrack.simulation.virtual_machines import SilentLog, VirtualDisk, VirtualSync
 from iristrack.simulation.virtual_time import VirtualScheduler, World
@@ -27,7 +27,8 @@
 class Machine:
     """One machine; `sent` holds what its host sent to other members."""
 
-    def __init__(self, disk: VirtualDisk) -> None:
+    def __init__(self, disk: VirtualDisk, seed: int = 1) -> None:
+        self.seed = seed
         self.world = World()
         self.disk = disk
         self.sent: list[tuple[str, object]] = []
@@ -46,7 +47,7 @@
             lambda member, message: self.sent.append((member, message)),
             KEYS,
             SilentLog(self.world, OWN, self.lines),
-            random.Random(1),
+            random.Random(self.seed),
         )
 
     def follow(self, members: MembersValue) -> None:
@@ -156,3 +157,34 @@
         if written > len(records):
             break
     assert machine.host.voting
+
+
+# ---- the disk's name
+
+
+def test_a_disk_keeps_its_name_over_starts_and_a_new_one_has_another() -> None:
+    disk = VirtualDisk()
+    first = Machine(disk)
+    first.pass_time(0.1)
+    assert Machine(disk, seed=2).host.disk == first.host.disk
+    assert Machine(VirtualDisk(), seed=2).host.disk != first.host.disk
+    assert disk.identity.incarnation == ""  # a name gives no vote
+
+
+def test_a_disk_that_was_voted_from_without_a_name_gets_none() -> None:
+    """Whoever votes from it may have voted as anybody; a name on it would say that it never did."""
+    disk = member_disk()
+    Machine(disk).pass_time(0.1)
+    assert DISK_BLOB not in disk.blobs
+
+
+def test_a_member_that_is_replaced_serves_the_disk_that_the_set_names() -> None:
+    machine = Machine(member_disk())
+    joining = MembersValue(FOUNDED + 1, ("b", "c", "d"), "d", OWN, "named")
+    machine.follow(joining)
+    answers = []
+    for disk in ("other", "named"):
+        ballot = Ballot(9, f"d/{disk}")
+        machine.host.handle(Prepare(1, RECOVERY_KEY, ballot, joining.sequence, disk), answers.append)
+        machine.pass_time(0.1)
+    assert [answer.granted for answer in answers] == [False, True]
--- a/tests/register/test_acceptor.py
+++ b/tests/register/test_acceptor.py
@@ -53,16 +53,27 @@
     assert not core.handle_accept(accept(MIDDLE)).reply.granted
 
 
-def test_one_that_is_replaced_lets_one_process_read_and_accepts_nothing() -> None:
+def test_one_that_is_replaced_lets_one_disk_be_filled_and_accepts_nothing() -> None:
     core = acceptor({KEY: Cell(LOW, LOW, b"old")})
-    core.serve_successor(2)
-    first, second = Ballot(5, "d/1"), Ballot(9, "d/2")
-    assert core.handle_prepare(Prepare(1, RECOVERY_KEY, first, 2)).reply.granted
-    assert not core.handle_prepare(Prepare(1, RECOVERY_KEY, second, 2)).reply.granted
-    assert not core.handle_prepare(Prepare(2, KEY, second, 2)).reply.granted
-    read = core.handle_prepare(Prepare(2, KEY, Ballot(6, "d/1"), 2)).reply
+    core.serve_successor(2, "named")
+    first, second, later = Ballot(5, "d/1"), Ballot(9, "d/2"), Ballot(11, "d/3")
+    for disk in ("", "other"):
+        assert not core.handle_prepare(Prepare(1, RECOVERY_KEY, first, 2, disk)).reply.granted
+    assert core.handle_prepare(Prepare(1, RECOVERY_KEY, first, 2, "named")).reply.granted
+    assert not core.handle_prepare(Prepare(1, RECOVERY_KEY, second, 2, "other")).reply.granted
+    assert not core.handle_prepare(Prepare(2, KEY, second, 2, "other")).reply.granted
+    read = core.handle_prepare(Prepare(2, KEY, Ballot(6, "d/1"), 2, "named")).reply
     assert (read.granted, read.value) == (True, b"old")
     assert not core.handle_accept(Accept(3, KEY, Ballot(6, "d/1"), "", b"v", 2)).reply.granted
+    # A process that starts anew on the same disk goes on under a ballot of its own.
+    assert core.handle_prepare(Prepare(4, RECOVERY_KEY, later, 2, "named")).reply.granted
+
+
+def test_one_that_is_replaced_serves_nobody_where_the_set_names_no_disk() -> None:
+    core = acceptor({KEY: Cell(LOW, LOW, b"old")})
+    core.serve_successor(2, "")
+    for disk in ("", "any"):
+        assert not core.handle_prepare(Prepare(1, RECOVERY_KEY, Ballot(5, "d/1"), 2, disk)).reply.granted
 
 
 def test_an_accept_is_recorded_with_its_ballot_as_promise() -> None:
--- a/tests/register/test_member_set.py
+++ b/tests/register/test_member_set.py
@@ -138,7 +138,7 @@
             name: Acceptor(name, f"{name}-disk", held, True, keys=(KEY,), member_sequence=members.sequence)
             for name in names
         }
-        self.acceptors[members.leaving].serve_successor(members.sequence)
+        self.acceptors[members.leaving].serve_successor(members.sequence, members.joining_disk)
         del self.acceptors[members.joining]
 
     def carry(self, decider: Recovery | Proposer, reached: set[str]):
@@ -155,11 +155,14 @@
                 waiting.extend(decider.handle(handle(effect.message).reply, 1))
         return None
 
-    def recover(self, process: str, reached: set[str]) -> bool:
-        """Have the newcomer recover by what it reaches, and vote; false where that is not enough."""
+    def recover(self, process: str, reached: set[str], disk: str | None = None) -> bool:
+        """Have the newcomer recover by what it reaches, and vote; false where that is not enough.
+
+        Each process has a disk of its own, unless `disk` names it.
+        """
         name = self.members.joining
         identity = ProposerIdentity(f"{name}/{process}")
-        recovery = Recovery(name, identity, self.members, (KEY,), random.Random(1))
+        recovery = Recovery(name, identity, self.members, (KEY,), random.Random(1), disk=disk or process)
         recovered = self.carry(recovery, reached)
         if recovered is None:
             return False
@@ -178,7 +181,7 @@
 
 
 def test_a_newcomer_that_lost_the_disk_it_voted_on_does_not_read_from_the_one_it_replaced() -> None:
-    group = Round(replaced(FIRST, "a", "d"))
+    group = Round(replaced(FIRST, "a", "d", "first"))
     assert group.recover("first", {"a", "c"})
     assert isinstance(group.change(b"new", {"b", "d"}), Committed)
     del group.acceptors["d"]
@@ -189,13 +192,26 @@
 
 def test_a_newcomer_that_voted_without_the_one_it_replaced_does_not_read_from_it_later() -> None:
     """The first process recovers while its way to the leaving member is cut, so that this one knows nothing of it."""
-    group = Round(replaced(FIRST, "a", "d"))
+    group = Round(replaced(FIRST, "a", "d", "first"))
     assert group.recover("first", {"b", "c"})
     assert isinstance(group.change(b"new", {"b", "d"}), Committed)
     del group.acceptors["d"]
     assert not group.recover("second", {"a", "c"})
 
 
+def test_a_newcomer_that_starts_anew_before_it_voted_reads_from_the_one_it_replaces_again() -> None:
+    group = Round(replaced(FIRST, "a", "d", "its-disk"))
+    assert not group.recover("first", {"a"}, "its-disk")
+    assert group.recover("second", {"a", "c"}, "its-disk")
+    assert group.acceptors["d"].cell(KEY).value == b"old"
+
+
+def test_a_newcomer_whose_disk_is_not_named_reads_from_the_others_alone() -> None:
+    group = Round(replaced(FIRST, "a", "d"))
+    assert not group.recover("first", {"a", "c"})
+    assert group.recover("first", {"a", "b", "c"})
+
+
 def test_sets_change_and_settle_in_the_simulation() -> None:
     figures = run_seed(with_member_changes(Scenario(), 3), 0).figures
     assert figures["sets_changed"] > 0
