Have soaks cut links, lose disks, count repeats and end with a closing fault

Cause: soaks cut no links, lost no disks and counted no repeats against the budget, and ended with everything up.

Change: the links of the tests of cuts are a stand-in now, and each soak runs behind them. A core machine or a sidecar is cut off from some or all of the core for up to 4 s; a core machine loses its disk and counts as lost until it votes; one of four closing faults (nothing, the core killed, everything killed, everything killed and a disk lost) comes right after an acknowledged configuration. The repeats of all sidecars are counted in each window against 0.2 of the requests and a slack of 60 (it was 5,000 and not looked at).

--- a/tests/system/linked_program.py
+++ b/iristrack/standin/linked_program.py
@@ -1,8 +1,8 @@
 """Starts a program of the system as its command does, with inner connections dialled over given links.
 
-    LINKS='{"127.0.0.2:7640": "127.0.0.1:40001"}' python -m tests.system.linked_program controlplane
+    LINKS='{"127.0.0.2:7640": "127.0.0.1:40001"}' python -m iristrack.standin.linked_program controlplane
 
-An address that `LINKS` names is dialled at the other one, where a `Link` of the test hands the bytes on.
+An address that `LINKS` names is dialled at the other one, where a `Link` (`links.py`) hands the bytes on.
 """
 
 from __future__ import annotations
--- a/tests/system/links.py
+++ b/iristrack/standin/links.py
@@ -1,4 +1,4 @@
-"""Links between the machines of a test that can be cut: each hands on the bytes of one dialling machine to another.
+"""Links between the machines of a system that can be cut: each hands on the bytes of one dialling machine to another.
 
 A cut link is silent, as one whose packets are dropped: what is sent is held, new connections get no answer. When it
 heals, what was held arrives, and connections that were begun meanwhile are ended.
@@ -11,9 +11,9 @@
 import socket
 import threading
 
+from iristrack.standin.linked_program import LINKS_VARIABLE
 from iristrack.standin.machine import PORT_RANGE, Machine
 from iristrack.standin.system import System
-from tests.system.linked_program import LINKS_VARIABLE
 
 PIECE_BYTES = 65_536
 TICK_S = 0.02
@@ -119,7 +119,7 @@
                 if core is not machine:
                     link = self._links[machine.name, core.name] = Link(inner_address(core))
                     named[inner_address(core)] = link.address
-            machine.module = "tests.system.linked_program"
+            machine.module = "iristrack.standin.linked_program"
             machine.arguments = [PROGRAMS[machine.machine_class]]
             machine.environment = {LINKS_VARIABLE: json.dumps(named)}
 
--- a/iristrack/standin/soak/findings.py
+++ b/iristrack/standin/soak/findings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from bisect import bisect_left, bisect_right
 from collections import Counter
 from collections.abc import Iterable, Iterator
 
@@ -29,6 +30,7 @@
     for one in tries:
         found += _judge_try(one, arrivals.get(one.attempt_id, []), history)
     found += _judge_weights(system, history, tries, arrivals)
+    found += _judge_repeats(system, arrivals)
     found += [f"a traceback in the log:\n{text[-2000:]}" for text in system.tracebacks()]
     answered = [one for one in tries if one.status is not None]
     served = sum(one.status == 200 and one.whole for one in answered)
@@ -65,12 +67,33 @@
         if not one.kind.streaming or history.disturbed(one.edge, one.sent_at - CONTACT_S, one.ended_at):
             continue
         for arrival in arrivals.get(one.attempt_id, []):
-            newer = [at for revision, at in history.named.items() if revision > arrival.revision]
+            # Where all of the core was killed the time counts anew, as by the rules.
+            newer = [
+                max(at, history.core_back_at)
+                for revision, at in history.named.items()
+                if revision > arrival.revision
+            ]
             if arrival.ran and newer and arrival.at > min(newer) + bound_s:
                 late = arrival.at - min(newer)
                 yield f"began on weights {arrival.revision}, {late:.3f} s after newer ones were named: {one}"
 
 
+def _judge_repeats(system: System, arrivals: dict[str, list[Arrival]]) -> Iterator[str]:
+    """In no window do all edge machines together send on more repeats than the budget allows."""
+    bounds = system.rule_bounds
+    window_s, ratio, slack = (bounds[f"retry_{name}"] for name in ("window_s", "ratio", "slack"))
+    in_order = [sorted(arrival.at for arrival in sent) for sent in arrivals.values()]
+    first = sorted(sent[0] for sent in in_order)
+    repeats = sorted(at for sent in in_order for at in sent[1:])
+    for begun in repeats:
+        ended = begun + window_s
+        sent_again = bisect_right(repeats, ended) - bisect_left(repeats, begun)
+        allowed = ratio * (bisect_right(first, ended) - bisect_left(first, begun)) + slack
+        if sent_again > allowed:
+            yield f"{sent_again} repeats in {window_s} s, {allowed:.0f} are allowed"
+            return
+
+
 def settle(system: System, history: History) -> list[str]:
     """Wait until everything is served again by the newest configuration; what did not come about."""
     found = []
--- a/iristrack/standin/soak/run.py
+++ b/iristrack/standin/soak/run.py
@@ -6,12 +6,13 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from iristrack.standin.links import Links
 from iristrack.standin.soak.findings import judge, settle, summary
 from iristrack.standin.soak.traffic import MODEL, Traffic
 from iristrack.standin.soak.troubles import CHAT, History, Troubles, document
 from iristrack.standin.system import System
 
-BOUNDS = {"retry_slack": 5_000, "version_ms": 5_000, "lease_ms": 1_200, "grace_s": 5}
+BOUNDS = {"retry_slack": 60, "version_ms": 5_000, "lease_ms": 1_200, "grace_s": 5}
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +40,7 @@
 def soak(seed: int, sizes: Sizes, folder: Path) -> SoakResult:
     """Play one seed; the folder is removed where nothing was found."""
     system = System(folder, sizes.cores, sizes.edges, BOUNDS)
+    links = Links(system)
     try:
         system.add_model_servers(CHAT, MODEL, sizes.servers)
         system.start()
@@ -50,12 +52,15 @@
         system.wait_ready()
         history = History()
         traffic = Traffic(system.edges, sizes.clients, seed)
-        Troubles(system, history, seed).run(sizes.seconds, sizes.gap_s)
+        troubles = Troubles(system, links, history, seed)
+        troubles.run(sizes.seconds, sizes.gap_s)
+        troubles.close()
         found = settle(system, history)
         tries = traffic.stop()
         found += judge(system, history, tries)
     finally:
         system.stop()
+        links.stop()
     if not found:
         shutil.rmtree(folder, ignore_errors=True)
     return SoakResult(seed, summary(tries, history), tuple(found), folder)
--- a/iristrack/standin/soak/troubles.py
+++ b/iristrack/standin/soak/troubles.py
@@ -11,8 +11,10 @@
 from dataclasses import dataclass, field
 
 from iristrack.standin.documents import Document, amendment_of, configuration, route, service, tenant
+from iristrack.standin.links import Links
 from iristrack.standin.machine import Machine
 from iristrack.standin.model_server import ModelServer
+from iristrack.standin.operator import Call, call_once
 from iristrack.standin.soak.traffic import HOST, KEY, MODEL, Kind
 from iristrack.standin.system import System
 from iristrack.standin.waiting import NeverCame, wait_until
@@ -21,6 +23,8 @@
 EXIT_PATIENCE_S = 30.0
 FEWEST_SERVERS = 2  # that go on while others leave or are down
 LEAVING_S = 1.0  # a server that leaves is on the list as draining for so long
+CUT_S = (0.5, 1.5, 4.0)
+CLOSINGS = ("nothing", "core_killed", "all_killed", "all_killed_and_a_disk_lost")
 SERIES = (1, 1, 2, 4)  # signals in a row
 SERIES_PAUSE_S = 0.05
 ROUTE_KINDS = {
@@ -50,6 +54,7 @@
     revision: int = 1  # of the newest acknowledged configuration
     findings: list[str] = field(default_factory=list)
     counts: dict[str, int] = field(default_factory=dict)
+    core_back_at: float = 0.0  # when the core was there again after all of it was killed
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def add_disturbance(self, disturbance: Disturbance) -> None:
@@ -88,9 +93,10 @@
 class Troubles:
     """Draws and brings about the troubles of one soak."""
 
-    def __init__(self, system: System, history: History, seed: int) -> None:
+    def __init__(self, system: System, links: Links, history: History, seed: int) -> None:
         """Nothing happens before `run`."""
         self.system = system
+        self.links = links
         self.history = history
         self.rng = random.Random(f"{seed}/troubles")
         self._busy = {machine.name: threading.Lock() for machine in system.machines}
@@ -107,6 +113,8 @@
             "name": (3, self._name_version),
             "exchange": (3, self._exchange_server),
             "crash": (1, self._crash_server),
+            "lose_disk": (2, self._lose_disk),
+            "cut": (3, self._cut),
         }
 
     def run(self, for_s: float, gap_s: float) -> None:
@@ -124,6 +132,30 @@
         for thread in self._threads:
             thread.join(2 * EXIT_PATIENCE_S)
 
+    def close(self) -> None:
+        """End with one of the closing faults, right after a configuration was acknowledged."""
+        kind = self.rng.choice(CLOSINGS)
+        self.history.count(f"closing_{kind}")
+        self._configure(self.rng)
+        if kind == CLOSINGS[0]:
+            return
+        begun = time.monotonic()
+        killed = self.system.cores if kind == "core_killed" else self.system.machines
+        for machine in killed:
+            self._look(machine)
+            machine.send_signal(signal.SIGKILL)
+        for machine in killed:
+            machine.kill()
+        if kind == "all_killed_and_a_disk_lost":
+            self.rng.choice(self.system.cores).wipe_disk()
+        for machine in killed:
+            machine.change_settings(bootstrap=False)
+            machine.start()
+        self.system.wait_listening()
+        ended = self.history.core_back_at = time.monotonic()
+        for machine in killed:
+            self.history.add_disturbance(Disturbance(machine.name, kind, begun, ended))
+
     def _one(self, name: str, draw: random.Random) -> None:
         self.history.count(name)
         try:
@@ -206,6 +238,37 @@
 
         self._alone(machine, act)
 
+    def _lose_disk(self, draw: random.Random) -> None:
+        """A core machine loses power and its disk, and counts as lost until it votes again."""
+        machine = draw.choice(self.system.cores)
+        down_s = draw.choice((0.0, 1.0))
+
+        def act() -> None:
+            self._look(machine)
+            machine.kill()
+            machine.wipe_disk()
+            _pause(down_s)
+            self._start(machine)
+            wait_until(lambda: votes(machine), f"the vote of {machine.name}", EXIT_PATIENCE_S)
+
+        self._alone(machine, act)
+
+    def _cut(self, draw: random.Random) -> None:
+        """Nothing passes between a machine and some or all of the core for a while."""
+        machine = self._machine(draw)
+        others = [core for core in self.system.cores if core is not machine]
+        cut_from = draw.choice([others, others[:1], others[-1:]])
+        for_s = draw.choice(CUT_S)
+
+        def act() -> None:
+            begun = time.monotonic()
+            self.links.cut_off(machine, cut_from)
+            _pause(for_s)
+            self.links.cut_off(machine, cut_from, is_cut=False)
+            self.history.add_disturbance(Disturbance(machine.name, "cut", begun, time.monotonic()))
+
+        self._alone(machine, act)
+
     def _start(self, machine: Machine) -> None:
         """Start it again, not for the first time, and wait until it listens."""
         machine.change_settings(bootstrap=False)
@@ -281,6 +344,15 @@
         self.history.add_disturbance(Disturbance(lost.instance_id, "crash", begun, float("inf")))
 
 
+def votes(core: Machine) -> bool:
+    """Does a core machine say that it votes?"""
+    try:
+        answer = call_once(core.control, Call("GET", "/system/status"))
+    except OSError:
+        return False
+    return answer.status == 200 and answer.json["voting"]
+
+
 def _pause(seconds: float) -> None:
     """Let time pass between two troubles."""
     select.select([], [], [], seconds)
--- a/tests/system/test_cut_links.py
+++ b/tests/system/test_cut_links.py
@@ -10,10 +10,10 @@
 import pytest
 
 from iristrack.standin.documents import Document, route
+from iristrack.standin.links import Links
 from iristrack.standin.operator import Call, call_once, replace_call
 from iristrack.standin.system import System
 from iristrack.standin.waiting import wait_until
-from tests.system.links import Links
 from tests.system.scene import HOST, start_usual, usual_configuration
 from tests.system.test_core_losses import newest, read_status, restart, version, wait_served, wait_voting
 
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
@@ -21,6 +20,7 @@
 
 SIZES = Sizes(edges=3, clients=12, seconds=10.0, gap_s=0.2)
 BOUND_S = 5.0
+BOUNDS = {"version_ms": 1000 * BOUND_S, "retry_window_s": 10, "retry_ratio": 0.2, "retry_slack": 2}
 EDGE = "edge-0"
 
 
@@ -63,7 +63,7 @@
     ledger = Ledger()
     for arrival in arrivals:
         ledger.add(arrival)
-    system = SimpleNamespace(ledger=ledger, rule_bounds={"version_ms": 1000 * BOUND_S}, tracebacks=lambda: [])
+    system = SimpleNamespace(ledger=ledger, rule_bounds=BOUNDS, tracebacks=lambda: [])
     others = [replace(asked(), attempt_id=f"other-{number}") for number in range(9)]
     return judge(system, history or History(), [one, *others])
 
@@ -121,7 +121,33 @@
     assert found(one, arrived(at=10.0), history=replace(history, disturbances=[frozen])) == []
 
 
+def test_the_time_of_older_weights_counts_anew_where_all_of_the_core_was_killed() -> None:
+    history = History(named={2: 4.0}, core_back_at=5.5)
+    one = asked(Kind.STREAM)
+    assert found(one, arrived(at=10.4), history=history) == []
+    (finding,) = found(one, arrived(at=10.6), history=history)
+    assert "5.100 s after" in finding
+
+
+@pytest.mark.parametrize(
+    ("repeats_at", "is_sound"),
+    [
+        ([10.1] * 2, True),
+        ([10.1] * 3, False),
+        ([10.1, 15.0, 20.0], False),
+        ([10.1, 15.0, 20.2], True),
+    ],
+)
+def test_repeats_over_the_budget_of_a_window_are_found(repeats_at: list[float], is_sound: bool) -> None:
+    """One first sending earns a fifth of a repeat, and two are free."""
+    one = asked(Kind.SAFE)
+    sent = [arrived(ran=False, at=10.0), *(arrived(ran=False, at=at) for at in repeats_at)]
+    findings = found(one, *sent)
+    assert (findings == []) is is_sound
+    assert is_sound or "repeats in 10 s" in findings[0]
+
+
 def test_a_system_that_serves_hardly_anything_is_found() -> None:
     tries = [asked(status=503, attempt_id=f"a{number}") for number in range(30)]
-    system = SimpleNamespace(ledger=Ledger(), rule_bounds={"version_ms": math.inf}, tracebacks=lambda: [])
+    system = SimpleNamespace(ledger=Ledger(), rule_bounds=BOUNDS, tracebacks=lambda: [])
     assert judge(system, History(), tries) == ["0 of 30 requests were served"]
