Have sidecars tell a core that was killed whole how long ago weights were named

Cause: the moments at which revisions of weights were named live in memory. Where all core members were killed, each counted from its return, and a sidecar that started after that allowed older weights for their whole time once more, though other sidecars still knew better.

Change: a sidecar that knows of an earlier moment than a core member's heartbeat tells (by 250 ms or more) answers with a heartbeat that bears its own ages; the member keeps the earliest, as before. Nothing is sent where they agree.

Result: whole programs: all core members killed, the sidecar's word at each of them, a sidecar that starts anew begins nothing on the older weights (fails without the change).

--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -9,6 +9,7 @@
 
 import secrets
 from collections.abc import Callable
+from dataclasses import replace
 
 from iristrack.configuration.amendment import parse_amendment
 from iristrack.configuration.document import parse_configuration
@@ -169,6 +170,7 @@
         """A member tells how new its topics are: what the hub does not push in time is asked for."""
         self.core.heard(connection, message)
         self._on_named_ages(message.named)
+        self._tell_named_ages(connection, message)
         self._choose_hub()
         if connection is not self._hub:
             self.catch_up.heard(connection, self.topics.versions(), message.known, self.plane.scheduler.now())
@@ -255,6 +257,13 @@
             if required > before[model]:
                 self.log.info("weights required", model=model, revision=required)
 
+    def _tell_named_ages(self, connection: PeerConnection, message: Heartbeat) -> None:
+        """Tell a core member that began anew how long ago weights were named: all of the core may have forgotten it."""
+        now = self.plane.scheduler.now()
+        named = self.plane.named_weights
+        if named.knows_earlier(message.named, now):
+            connection.send(replace(self._heartbeat(), named=named.ages(now)))
+
     def _on_kept(self, batch: KeptBatch) -> None:
         now = self.plane.scheduler.now()
         for change in batch.entries:
--- a/iristrack/engines/named_weights.py
+++ b/iristrack/engines/named_weights.py
@@ -15,6 +15,7 @@
 NS_PER_MS = 1_000_000
 MOST_MODELS = 256
 LOOK_AGAIN_NS = 1000 * NS_PER_MS  # the least time in which no newer revision can end the allowance
+EARLIER_NS = 250 * NS_PER_MS  # by so much two processes may differ that were told over a slow link
 MOST_REVISIONS = 8  # of one model; of more, the two lowest are taken as one, named when the first of them was
 
 
@@ -50,6 +51,15 @@
         for age in ages:
             self.heard(age.model, age.revision, now - age.age_ms * NS_PER_MS)
 
+    def knows_earlier(self, ages: Iterable[NamedAge], now: int) -> bool:
+        """Does this process know of a revision that was named earlier than was told just now, or was not told?"""
+        told = {(age.model, age.revision): now - age.age_ms * NS_PER_MS for age in ages}
+        return any(
+            n.named_at + EARLIER_NS < told.get((model, n.revision), now)
+            for model, named in self._named.items()
+            for n in named
+        )
+
     def ages(self, now: int) -> tuple[NamedAge, ...]:
         """How long ago each revision was named."""
         return tuple(
--- a/tests/engines/test_named_weights.py
+++ b/tests/engines/test_named_weights.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from iristrack.engines.named_weights import (
+    EARLIER_NS,
     LOOK_AGAIN_NS,
     MOST_MODELS,
     MOST_REVISIONS,
@@ -102,3 +103,18 @@
         named.heard(f"m{number}", 2, 0)
     assert named.heard("m0", 3, 1)
     assert len(named.ages(0)) == MOST_MODELS + 1
+
+
+SECOND = 1000 * NS_PER_MS
+
+
+def test_who_knows_an_earlier_moment_than_was_told_says_so() -> None:
+    named = NamedWeights()
+    assert not named.knows_earlier([], SECOND)
+    named.heard("m", 2, SECOND)
+    now = 5 * SECOND
+    assert named.knows_earlier([], now)  # the other has forgotten the revision
+    assert named.knows_earlier([NamedAge("m", 2, 1000)], now)
+    assert not named.knows_earlier([NamedAge("m", 2, 3900)], now)
+    assert not named.knows_earlier([NamedAge("m", 2, 9000)], now)
+    assert not named.knows_earlier([], SECOND + EARLIER_NS)  # just named: the other may not have heard yet
--- a/tests/system/test_older_weights.py
+++ b/tests/system/test_older_weights.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -31,6 +32,7 @@
 from tests.system.weights_scene import VERSION_MS, name_version, wait_past_the_bound, wait_revision
 
 SERVERS = 4
+SLACK_S = 1.0  # by so much a core member may know a version as younger than it is
 REQUESTS = 40  # of which each meets the server in question with even chances
 
 
@@ -63,10 +65,15 @@
     return acknowledged
 
 
+def age_s(core: Machine) -> float:
+    """How long ago a version was named, as this core member knows; 0 where it knows of none."""
+    status = call_once(core.control, Call("GET", "/system/status")).json
+    return max((v["named_ms_ago"] or 0 for v in status["versions"]), default=0) / 1000
+
+
 def knows_age(core: Machine) -> bool:
     """Does this core member know that the bound of the newest version is over?"""
-    status = call_once(core.control, Call("GET", "/system/status")).json
-    return any(v["named_ms_ago"] >= VERSION_MS for v in status["versions"] if v["named_ms_ago"] is not None)
+    return age_s(core) >= VERSION_MS / 1000
 
 
 def test_a_further_version_gives_weights_whose_time_is_over_no_new_time(system: System) -> None:
@@ -110,6 +117,53 @@
     assert {arrival.revision for arrival in begun(system)} == {2}
 
 
+def test_a_core_that_was_killed_whole_is_told_by_a_sidecar_how_long_ago_a_version_was_named(
+    system: System,
+) -> None:
+    acknowledged = leave_one_behind(system)
+    for core in system.cores:
+        core.kill()
+    for core in system.cores:
+        core.change_settings(bootstrap=False)
+        core.start()
+    system.wait_listening()
+    for core in system.cores:
+        # What it counts from its own return is younger by the bound, however long this waits.
+        wait_until(
+            lambda core=core: age_s(core) > time.monotonic() - acknowledged - SLACK_S,
+            f"the word of the sidecar at {core.name}",
+        )
+    system.edges[0].kill()
+    system.edges[0].start()
+    system.wait_ready()
+    assert {arrival.revision for arrival in begun(system)} == {2}
+
+
+def test_after_everything_was_killed_more_than_once_each_time_counts_from_the_cores_last_return(
+    system: System,
+) -> None:
+    """Nobody remembers: what was named before has its time once more, and no version named meanwhile adds to it."""
+    leave_one_behind(system)
+    for revision in (3, 4):
+        for server in system.model_servers:
+            server.weights.stuck = True
+        name_version(system, revision)
+        for machine in system.machines:
+            machine.kill()
+        for machine in system.machines:
+            machine.change_settings(bootstrap=False)
+            machine.start()
+        system.wait_ready()
+    back_at = time.monotonic()
+    revisions = {arrival.revision for arrival in begun(system)}
+    assert revisions <= {1, 2}
+    for server in system.model_servers[1:]:
+        server.weights.stuck = False
+    wait_revision(system.model_servers[1:], 4)
+    wait_past_the_bound(back_at)
+    assert {arrival.revision for arrival in begun(system)} == {4}
+
+
 def test_a_core_that_was_exchanged_one_by_one_still_knows_how_long_ago_a_version_was_named(
     system: System,
 ) -> None:
