Set holding a duty and ordering a server apart from the duty of weights

Cause: `controlplane/weights.py` held the claim, the list, the roll and the calls to servers in one class of 160 lines. The duty of roll-outs will need the first of these as it is.

Change: `duty_holder.py` claims and renews a duty in its register, `weight_orders.py` reports and orders at one server, `weights.py` puts them together. Moved, without a change of behaviour.

--- a/iristrack/controlplane/weights.py
+++ b/iristrack/controlplane/weights.py
@@ -1,40 +1,30 @@
-"""The duty of bringing servers to the named weights: held by one core member at a time, fenced."""
+"""The duty of bringing servers to the named weights: held by one core member at a time, fenced.
+
+`duty_holder.py` holds the duty, `engines/roll.py` says which servers go next, `weight_orders.py` brings one server to
+its revision; this file puts them together and tells the sidecars which servers are busy.
+"""
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 
-from iristrack.controlplane import changes
+from iristrack.controlplane.duty_holder import DutyHolder
 from iristrack.controlplane.register_host import RegisterHost
+from iristrack.controlplane.weight_orders import WeightOrders
 from iristrack.duties.lease import Lease
-from iristrack.engines.reports import MalformedReport, Report, read_report
 from iristrack.engines.roll import Roll, Upgrade, wanted_upgrades
-from iristrack.http1 import messages as http
-from iristrack.http1.fetching import Caller
 from iristrack.placement.servers import ListedServer
 from iristrack.platform_api.server_list import from_message
-from iristrack.register import Committed, Overtaken, Rejected
 from iristrack.relay import topics
 from iristrack.runtime.scheduler import Scheduler
 from iristrack.settings import Settings
 from iristrack.wire.codec import encode
-from iristrack.wire.dialing import parse_address
-from iristrack.wire.messages import BusyServers, DutyValue, InstanceRevision, ServersValue, Update
+from iristrack.wire.messages import BusyServers, InstanceRevision, ServersValue, Update
 from iristrack.wire.values import decode_value
 
 NS_PER_MS = 1_000_000
 TICK_NS = 100 * NS_PER_MS
-CLAIM_NS = 800 * NS_PER_MS
-CALL_NS = 700 * NS_PER_MS
-REPORT_NS = 200 * NS_PER_MS
-GIVE_UP_NS = 12_000 * NS_PER_MS  # an upgrade that takes longer is begun anew
-NO_ORDER_NS = 1500 * NS_PER_MS  # a server that takes no order for so long lets the others go first
-FENCE_REFUSED = 412  # the status of a server that has seen a higher fence
 FENCE_SHIFT = 24  # the sequence of a holder's updates: its fence, then a counter
-METHOD = (
-    "retain"  # streams go on: their parts stay under the salt of the old weights, where no new request looks
-)
 
 
 class WeightsDuty:
@@ -52,13 +42,12 @@
     ) -> None:
         """`named` gives the newest revision of each model; starts with the next turn of the loop."""
         self.scheduler = scheduler
-        self.settings = settings
-        self.register = register
         self.named = named
         self.publish = publish
-        self.log = log
         lease_ns = int(settings.rule_bounds.lease_ms) * NS_PER_MS
         self.lease = Lease(settings.node_name, process, lease_ns)
+        self.duty = DutyHolder(scheduler, register, topics.WEIGHTS_DUTY, self.lease, publish, log)
+        self.orders = WeightOrders(scheduler, self.lease, log)
         self.servers: list[ListedServer] = []
         self.roll = Roll()
         self._told: BusyServers | None = None
@@ -69,43 +58,22 @@
     def on_update(self, update: Update) -> None:
         """The duty's value, or the list of servers, was told of."""
         if update.topic == topics.WEIGHTS_DUTY:
-            self.lease.saw(decode_value(update.value, DutyValue), self.scheduler.now())
+            self.duty.on_value(update.value)
         elif update.topic == topics.SERVERS:
             self._take_list(update.value)
 
     def _run(self) -> None:
         while True:
             self.scheduler.sleep(TICK_NS)
-            if not (self._wanted() or self.roll.under_way):
-                continue  # nobody has to hold the duty
-            if self.lease.seen is None:
-                self.lease.saw(None, self.scheduler.now())
-            if self.lease.wants_claim(self.scheduler.now()):
-                self._claim()
-            if self.lease.may_act(self.scheduler.now()):
+            is_work = bool(self._wanted()) or self.roll.under_way  # else nobody has to hold the duty
+            if is_work and self.duty.keep():
                 self._work()
 
-    def _claim(self) -> None:
-        began = self.scheduler.now()
-        expected = self.lease.seen
-        change = changes.claim_duty(self.lease.node, self.lease.process, expected, self.lease.refused_fence)
-        result = self.register.change(topics.WEIGHTS_DUTY, change, began + CLAIM_NS)
-        now = self.scheduler.now()
-        if isinstance(result, Committed):
-            value = decode_value(result.value, DutyValue)
-            if (value.owner, value.process) == (self.lease.node, self.lease.process):
-                if self.lease.holding is None:
-                    self.log.info("duty taken", duty=topics.WEIGHTS_DUTY, fence=value.fence)
-                self.lease.claimed(value, began, now)
-                self.publish(Update(topics.WEIGHTS_DUTY, value.sequence, result.value))
-        elif isinstance(result, Rejected | Overtaken):
-            self.lease.saw(decode_value(result.value, DutyValue), now)
-
     def _work(self) -> None:
         now = self.scheduler.now()
-        orders = self.roll.next_orders(self._wanted(), sum(bool(s.models) for s in self.servers), now)
+        upgrades = self.roll.next_orders(self._wanted(), sum(bool(s.models) for s in self.servers), now)
         self._tell_busy()
-        for upgrade in orders:
+        for upgrade in upgrades:
             self.scheduler.spawn("upgrade", self._upgrade, upgrade)
 
     def _wanted(self) -> list[Upgrade]:
@@ -123,75 +91,18 @@
         return self._done.get((upgrade.instance_id, upgrade.model), 0) >= upgrade.revision
 
     def _upgrade(self, upgrade: Upgrade) -> None:
-        """Order one server to take the weights and wait until it holds them."""
-        caller = Caller(self.scheduler, parse_address(upgrade.address))
-        began = self.scheduler.now()
-        ordered = taken = False
+        """Bring one server to its revision, and note what came of it, also where this task is ended."""
+        is_taken = False
         try:
-            while self.scheduler.now() - began < (GIVE_UP_NS if ordered else NO_ORDER_NS):
-                report = self._report(caller)
-                if report is not None and report.revisions.get(upgrade.model, 0) >= upgrade.revision:
-                    taken = True
-                    self._done[upgrade.instance_id, upgrade.model] = upgrade.revision
-                    self.log.info(
-                        "weights taken",
-                        server=upgrade.instance_id,
-                        ms=(self.scheduler.now() - began) // NS_PER_MS,
-                    )
-                    return
-                if report is not None and not ordered:
-                    ordered = report.busy or self._order(caller, upgrade, report)
-                self.scheduler.sleep(REPORT_NS)
+            is_taken = self.orders.upgrade(upgrade)
         finally:
-            caller.close()
-            if taken:
+            if is_taken:
+                self._done[upgrade.instance_id, upgrade.model] = upgrade.revision
                 self.roll.ended(upgrade.instance_id)
             else:
                 self.roll.given_up(upgrade.instance_id, self.scheduler.now())
             self._tell_busy()
 
-    def _report(self, caller: Caller) -> Report | None:
-        try:
-            answer = caller.call(b"GET", b"/report", b"", b"", self.scheduler.now() + CALL_NS)
-            return read_report(answer.body) if answer.head.status == 200 else None
-        except (OSError, http.Malformed, http.Truncated, MalformedReport):
-            return None
-
-    def _order(self, caller: Caller, upgrade: Upgrade, report: Report) -> bool:
-        """Give the order if the lease still holds; whether the server has it, as far as is known."""
-        if not self.lease.may_act(self.scheduler.now()):
-            return False
-        holding = self.lease.holding
-        body = {
-            "order_kind": "revision",
-            "model_name": upgrade.model,
-            "revision": upgrade.revision,
-            "method": METHOD,
-            "owner": self.lease.node,
-            "fence_no": holding.fence,
-            "expected_count": report.call_count,
-        }
-        lines = (
-            b"Content-Type: application/json\r\nX-Iristrack-Expect-Instance: %b\r\n"
-            % upgrade.instance_id.encode()
-        )
-        try:
-            caller.close()  # on a connection of its own: no late answer can be taken for the order's
-            caller.connect(self.scheduler.now() + CALL_NS)
-            if not self.lease.may_act(self.scheduler.now()):
-                return False  # it ended while the connection came up
-            answer = caller.call(
-                b"POST", b"/order", lines, json.dumps(body).encode(), self.scheduler.now() + CALL_NS
-            )
-        except (OSError, http.Malformed, http.Truncated):
-            return False  # it may have been taken: `expected_count` guards the next one
-        self.log.info(
-            "order", server=upgrade.instance_id, revision=upgrade.revision, status=answer.head.status
-        )
-        if answer.head.status == FENCE_REFUSED:
-            self.lease.refused(holding.fence)
-        return answer.head.status in (200, 202)
-
     def _tell_busy(self) -> None:
         taken = (InstanceRevision(name, model, revision) for (name, model), revision in self._done.items())
         busy = BusyServers(tuple(sorted(self.roll.ordered)), tuple(sorted(self.roll.preparing)), tuple(taken))
--- a/tests/controlplane/test_weights_duty.py
+++ b/tests/controlplane/test_weights_duty.py
@@ -55,7 +55,7 @@
 
 def test_an_order_is_written_while_the_lease_holds(world: World, duty: WeightsDuty) -> None:
     caller = LateCaller(world, ACT_NS - 1)
-    assert duty._order(caller, UPGRADE, REPORT)
+    assert duty.orders.order(caller, UPGRADE, REPORT)
     assert caller.written == 1
 
 
@@ -65,5 +65,5 @@
 ) -> None:
     """Where servers check no fence, a late order would be a turn of the old holder beside the next one."""
     caller = LateCaller(world, late_ns)
-    assert not duty._order(caller, UPGRADE, REPORT)
+    assert not duty.orders.order(caller, UPGRADE, REPORT)
     assert caller.written == 0
