Tell forgotten moments of naming with the next heartbeats, not with answers

Cause: a sidecar answered each heartbeat of a core member that lacked a moment, and the member answers each heartbeat: with a member that never learns (a planted fault of the simulation; a member whose bounded list has merged two revisions) they answered each other without a pause.

Change: the ages go with the heartbeats of the next two seconds, which are sent anyway.

--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -9,7 +9,6 @@
 
 import secrets
 from collections.abc import Callable
-from dataclasses import replace
 
 from iristrack.configuration.amendment import parse_amendment
 from iristrack.configuration.document import parse_configuration
@@ -46,6 +45,9 @@
 NS_PER_MS = 1_000_000
 SIDECARS_PER_HEARTBEAT = 24  # so many more sidecars add the first interval once more
 LONGEST_HEARTBEAT_NS = 1000 * NS_PER_MS  # a change that the hub did not push is heard of within it
+TELL_AGES_NS = (
+    2 * LONGEST_HEARTBEAT_NS
+)  # so long heartbeats bear the ages of named weights, once a member lacks them
 LEASE_TICK_NS = 100 * NS_PER_MS  # how often it is looked whether the lease of keys is to be renewed
 BUSY_NS = 3000 * NS_PER_MS  # a server that takes new weights is left alone for so long unless told otherwise
 
@@ -63,6 +65,7 @@
         self.catch_up = CatchUp()
         self.process = secrets.token_hex(6)
         self.heartbeats = 0
+        self._tells_ages_until = 0  # ns
         self.core = CoreView(plane.settings.zone, topics.CONFIGURATION)
         self._hub: PeerConnection | None = None
         self._ask_timer: Timer | None = None
@@ -117,7 +120,10 @@
 
     def _heartbeat(self) -> Heartbeat:
         self.heartbeats += 1
-        return Heartbeat(self.plane.settings.node_name, self.process, self.heartbeats, self.topics.versions())
+        now = self.plane.scheduler.now()
+        ages = self.plane.named_weights.ages(now) if now < self._tells_ages_until else ()
+        node = self.plane.settings.node_name
+        return Heartbeat(node, self.process, self.heartbeats, self.topics.versions(), named=ages)
 
     def _heartbeat_interval(self, connection: PeerConnection) -> int:
         """The hub is asked often; the others, which only show what was missed, more rarely in a large fleet."""
@@ -170,7 +176,7 @@
         """A member tells how new its topics are: what the hub does not push in time is asked for."""
         self.core.heard(connection, message)
         self._on_named_ages(message.named)
-        self._tell_named_ages(connection, message)
+        self._look_who_knows_ages(message)
         self._choose_hub()
         if connection is not self._hub:
             self.catch_up.heard(connection, self.topics.versions(), message.known, self.plane.scheduler.now())
@@ -257,12 +263,15 @@
             if required > before[model]:
                 self.log.info("weights required", model=model, revision=required)
 
-    def _tell_named_ages(self, connection: PeerConnection, message: Heartbeat) -> None:
-        """Tell a core member that began anew how long ago weights were named: all of the core may have forgotten it."""
+    def _look_who_knows_ages(self, message: Heartbeat) -> None:
+        """Tell with the next heartbeats how long ago weights were named, where a core member has forgotten it.
+
+        All of the core may have begun anew. The ages go with heartbeats that are sent anyway: an answer of its own to
+        each heartbeat would be answered in turn, and so on, with a member that never learns.
+        """
         now = self.plane.scheduler.now()
-        named = self.plane.named_weights
-        if named.knows_earlier(message.named, now):
-            connection.send(replace(self._heartbeat(), named=named.ages(now)))
+        if self.plane.named_weights.knows_earlier(message.named, now):
+            self._tells_ages_until = now + TELL_AGES_NS
 
     def _on_kept(self, batch: KeptBatch) -> None:
         now = self.plane.scheduler.now()
--- a/tests/dataplane/test_control_link.py
+++ b/tests/dataplane/test_control_link.py
@@ -294,3 +294,22 @@
     linked.link._ask_for_key_lease()
     assert lease_requests(peer) == []
     assert linked.plane.key_lease.holds(clock())
+
+
+def test_a_member_that_has_forgotten_when_weights_were_named_is_told_with_the_next_heartbeats(
+    linked: Linked,
+) -> None:
+    """An answer to each of its heartbeats would be answered in turn, without a pause, by one that never learns."""
+    link, member = linked.link, meet(linked, "z")
+    assert link._heartbeat().named == ()
+    linked.update(topics.VERSIONS, 1, VersionsValue(1, (ModelRevision(MODEL, 2),)))
+    named_ago = NamedAge(MODEL, 2, 5_000)
+    link._on_message(member, Heartbeat("core", "p", 1, named=(named_ago,)))
+    assert link._heartbeat().named == ()  # the member knows it
+    member.take()
+    for _ in range(3):
+        link._on_message(member, Heartbeat("core", "p", 1))
+    assert not any(isinstance(message, Heartbeat) for message in member.take())
+    (told,) = link._heartbeat().named
+    assert (told.model, told.revision) == (MODEL, 2)
+    assert told.age_ms >= named_ago.age_ms
