Set what carries out proposers and recoveries apart from the register host

Cause: `register_host.py` held how an acceptor comes to vote, its messages, and the timers, messages and ends of proposers and recoveries; one class of running deciders stood for both, with a result that was a call for one of them.

Change: `controlplane/deciders.py` carries them out, with a type for each. Moved, without a change of behaviour.

--- a/iristrack/controlplane/operator_api.py
+++ b/iristrack/controlplane/operator_api.py
@@ -10,7 +10,8 @@
 from iristrack.configuration.document import Finding, read_configuration
 from iristrack.configuration.model import Configuration
 from iristrack.controlplane import changes
-from iristrack.controlplane.register_host import RegisterHost, transfer_ns
+from iristrack.controlplane.deciders import transfer_ns
+from iristrack.controlplane.register_host import RegisterHost
 from iristrack.controlplane.status_figures import status_figures
 from iristrack.http1 import messages as http
 from iristrack.http1.serving import Response
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -11,6 +11,7 @@
 from iristrack.configuration.amendment import SERVICES, parse_amendment
 from iristrack.configuration.building import parse_services
 from iristrack.controlplane import changes
+from iristrack.controlplane.deciders import transfer_ns
 from iristrack.controlplane.distribution import Distribution
 from iristrack.controlplane.environment import Environment, SystemEnvironment
 from iristrack.controlplane.founding import Founding
@@ -21,7 +22,7 @@
 from iristrack.controlplane.member_changes import MemberChanges
 from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
 from iristrack.controlplane.quorum_contact import LATELY_NS, QuorumContact
-from iristrack.controlplane.register_host import RegisterHost, transfer_ns
+from iristrack.controlplane.register_host import RegisterHost
 from iristrack.controlplane.status import PeerBook, status_document
 from iristrack.controlplane.weights import WeightsDuty
 from iristrack.engines.named_weights import NamedWeights
--- a/iristrack/controlplane/register_host.py
+++ b/iristrack/controlplane/register_host.py
@@ -10,28 +10,30 @@
 import random
 from collections.abc import Callable
 
+from iristrack.controlplane.deciders import (
+    LEAST_ATTEMPT_NS,
+    DeciderRunner,
+    RunningRecovery,
+    transfer_ns,
+)
 from iristrack.register import (
     Acceptor,
     Cell,
     CellRecord,
     Change,
     Committed,
-    Effect,
-    Finished,
     Pace,
     Proposer,
     ProposerIdentity,
     ProposerResult,
     Recovered,
     Recovery,
-    SendTo,
-    SetTimer,
     Unavailable,
     Unchanged,
 )
 from iristrack.register.acceptor import EMPTY_CELL, Outcome
 from iristrack.relay import topics
-from iristrack.runtime.scheduler import Scheduler, Task, Timer
+from iristrack.runtime.scheduler import Scheduler
 from iristrack.store.cells import BlobRecord, IdentityRecord, OpenedCells
 from iristrack.store.sync_thread import SyncThread
 from iristrack.wire.messages import (
@@ -56,36 +58,12 @@
 INCARNATION_BITS = 64  # and of an acceptor's incarnation
 DISK_RETRY_NS = 500_000_000  # between two tries of a disk that refused a record
 FIRST_CALL_BITS = 48  # call numbers begin anywhere: one process's are not taken for another's
-SLOWEST_NS_PER_BYTE = 250  # a value is given so much more time for its length: 7 MiB get 1.8 s,
-SLOWEST_MOVING_NS_PER_BYTE = (
-    1600  # and so much as long as bytes move between the members, which is one at 5 Mbit/s
-)
-LEAST_MOVED_BYTES = 16 * 1024  # between two looks, to count as moving
 ATTEMPTS = 3  # an attempt of a change gets this part of the change's time,
-LEAST_ATTEMPT_NS = Pace().attempt_timeout_ns  # and no less than this
 NO_MEMBERS = MembersValue(UNFOUNDED)
 Reply = Callable[[Message], None]
 SendToMember = Callable[[str, Message], None]
 
 
-def transfer_ns(size: int) -> int:
-    """How much longer a change of a value of so many bytes may take (ns)."""
-    return size * SLOWEST_NS_PER_BYTE
-
-
-class _Running:
-    """A proposer or a recovery that waits for answers or its timer."""
-
-    def __init__(self, decider: Proposer | Recovery) -> None:
-        self.decider = decider
-        self.timer: Timer | None = None
-        self.began_at = 0  # ns
-        self.moved_bytes = 0  # between the members, when these were last seen to move,
-        self.moved_at = 0  # and when that was (ns)
-        self.task: Task | None = None
-        self.result: object | None = None
-
-
 class RegisterHost:
     """One core member's acceptor and the proposers of this process."""
 
@@ -106,7 +84,6 @@
         `rng` gives waits, and names that must differ from all that were ever drawn; by default the system's.
         `moved_bytes` counts the bytes that were written to the other members and read from them.
         """
-        self.moved_bytes = moved_bytes
         self.rng = rng or random.SystemRandom()
         self.scheduler = scheduler
         self.name = name
@@ -118,9 +95,9 @@
         self.identity = ProposerIdentity(proposer, self.rng.getrandbits(FIRST_CALL_BITS))
         self.member_set = decode_value(opened.blobs.get(MEMBERS_BLOB, b""), MembersValue) or NO_MEMBERS
         self.acceptor: Acceptor | None = None
-        self._running: list[_Running] = []
+        self.deciders = DeciderRunner(scheduler, self._send, self.value_size, moved_bytes)
         self._opened = opened
-        self._recovery: _Running | None = None
+        self._recovery: RunningRecovery | None = None
         self._forming = False
         self._left: Acceptor | None = (
             None  # of this process as it was replaced, for its successor to read from
@@ -230,7 +207,7 @@
         else:
             self.member_set = told
             self._recover(on_done)
-        self._tell_proposers()
+        self.deciders.use(self.member_set)
 
     def _draw_incarnation(self) -> str:
         return f"{self.rng.getrandbits(INCARNATION_BITS):016x}"
@@ -322,20 +299,18 @@
         except ValueError as fault:
             self.log.error("no recovery", reason=str(fault))
             return
-        running = self._recovery = _Running(decider)
-        self._running.append(running)
 
         def finished(recovered: Recovered) -> None:
             self._recovery = None
             self._begin(members, incarnation, recovered.records, on_done)
 
-        running.result = finished
         self.log.info("recovering", sequence=members.sequence, members=",".join(members.members))
-        self._carry_out(running, running.decider.start(self.scheduler.now()))
+        self._recovery = RunningRecovery(decider, finished)
+        self.deciders.start(self._recovery)
 
     def _stop_recovery(self) -> None:
         if self._recovery is not None:
-            self._forget(self._recovery)
+            self.deciders.drop(self._recovery)
             self._recovery = None
 
     def _begin(
@@ -406,7 +381,7 @@
         elif isinstance(message, Accept):
             self._vote(lambda acceptor: acceptor.handle_accept(message), reply)
         elif isinstance(message, Promise | Accepted):
-            self._dispatch(message)
+            self.deciders.dispatch(message)
 
     def _vote(self, decide: Callable[[Acceptor], Outcome], reply: Reply) -> None:
         acceptor = self.acceptor or self._left
@@ -430,13 +405,7 @@
 
         self.sync.submit(records, written)
 
-    def _dispatch(self, answer: Promise | Accepted) -> None:
-        for running in list(self._running):
-            if isinstance(running.decider, Recovery) and not isinstance(answer, Promise):
-                continue
-            self._carry_out(running, running.decider.handle(answer, self.scheduler.now()))
-
-    # ---- deciders
+    # ---- changes
 
     def change(self, key: str, change: Change, deadline: int, pace: Pace | None = None) -> ProposerResult:
         """Change a register from a task of the loop; returns when it has ended, at `deadline` (ns) at the latest."""
@@ -454,18 +423,18 @@
             pace,
             held=lambda: EMPTY_CELL if self.acceptor is None else self.acceptor.cell(key),
         )
-        running = _Running(proposer)
-        running.began_at = running.moved_at = self.scheduler.now()
-        running.moved_bytes = self.moved_bytes()
-        running.task = self.scheduler.current
-        self._running.append(running)
-        self._carry_out(running, proposer.start(self.scheduler.now()))
-        try:
-            while running.result is None:
-                self.scheduler.wait(-1, 0, None)
-        finally:
-            self._forget(running)
-        return running.result
+        return self.deciders.run(proposer)
+
+    def _send(self, member: str, message: Prepare | Accept) -> None:
+        if member == self.name:
+            # In a turn of its own: a decider must not be given an answer while its effects are carried out.
+            self.scheduler.call_at(self.scheduler.now(), self.handle, message, self._answer_self)
+        else:
+            self.send(member, message)
+
+    def _answer_self(self, answer: Message) -> None:
+        if isinstance(answer, Promise | Accepted):  # of a newer member set this process knows already
+            self.deciders.dispatch(answer)
 
     def write_again(self, members: MembersValue, round_ns: int) -> bool:
         """Have what stands in each register accepted by a quorum of this member set, from a task of the loop.
@@ -481,63 +450,3 @@
             if not isinstance(result, Committed) or self.member_set != members:
                 return False
         return True
-
-    def _carry_out(self, running: _Running, effects: list[Effect]) -> None:
-        for effect in effects:
-            if isinstance(effect, SendTo):
-                self._send(effect)
-            elif isinstance(effect, SetTimer):
-                if running.timer is not None:
-                    running.timer.cancel()
-                running.timer = self.scheduler.call_at(effect.at_ns, self._on_timer, running)
-            elif isinstance(effect, Finished):
-                self._finish(running, effect.result)
-
-    def _tell_proposers(self) -> None:
-        for running in list(self._running):
-            if isinstance(running.decider, Proposer):
-                self._carry_out(running, running.decider.use(self.member_set, self.scheduler.now()))
-
-    def _on_timer(self, running: _Running) -> None:
-        if isinstance(running.decider, Proposer) and self._is_moving(running):
-            again_at = self.scheduler.now() + LEAST_ATTEMPT_NS
-            running.timer = self.scheduler.call_at(again_at, self._on_timer, running)
-            return
-        self._carry_out(running, running.decider.on_timer(self.scheduler.now()))
-
-    def _is_moving(self, running: _Running) -> bool:
-        """Is a long value still on its way? To begin anew would send it once more, behind itself."""
-        now, moved = self.scheduler.now(), self.moved_bytes()
-        size = max(running.decider.proposal_size, self.value_size(running.decider.key))
-        if moved - running.moved_bytes >= LEAST_MOVED_BYTES:
-            running.moved_bytes, running.moved_at = moved, now
-        rests_ns = max(LEAST_ATTEMPT_NS, transfer_ns(size))  # what has left here may lie on the way
-        is_late = now - running.began_at > size * SLOWEST_MOVING_NS_PER_BYTE
-        return not is_late and now - running.moved_at < rests_ns
-
-    def _send(self, effect: SendTo) -> None:
-        if effect.member == self.name:
-            # In a turn of its own: a decider must not be given an answer while its effects are carried out.
-            self.scheduler.call_at(self.scheduler.now(), self.handle, effect.message, self._answer_self)
-        else:
-            self.send(effect.member, effect.message)
-
-    def _answer_self(self, answer: Message) -> None:
-        if isinstance(answer, Promise | Accepted):  # of a newer member set this process knows already
-            self._dispatch(answer)
-
-    def _finish(self, running: _Running, result: object) -> None:
-        if callable(running.result):  # a recovery: its end is a call
-            on_recovered = running.result
-            self._forget(running)
-            on_recovered(result)
-            return
-        running.result = result
-        if running.task is not None:
-            running.task.wake()
-
-    def _forget(self, running: _Running) -> None:
-        if running.timer is not None:
-            running.timer.cancel()
-        if running in self._running:
-            self._running.remove(running)
--- a/tests/controlplane/test_change_times.py
+++ b/tests/controlplane/test_change_times.py
@@ -5,8 +5,8 @@
 import pytest
 
 from iristrack.controlplane import changes, register_host
+from iristrack.controlplane.deciders import LEAST_ATTEMPT_NS, transfer_ns
 from iristrack.controlplane.operator_api import CALL_NS, MOST_BODY
-from iristrack.controlplane.register_host import LEAST_ATTEMPT_NS, transfer_ns
 from iristrack.register import Pace, Proposer
 from iristrack.relay import topics
 from iristrack.runtime.scheduler import clock
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -290,7 +290,7 @@
         assert (response.status, response.body) == (200, document(7))
     sequences = [update.sequence for update in core.told]
     assert sequences == sorted(sequences)
-    assert all(not host._running for host in core.hosts.values())
+    assert all(host.deciders.under_way == 0 for host in core.hosts.values())
 
 
 def test_one_of_two_operators_on_the_same_base_prevails() -> None:
--- a/tests/simulation/planted_faults.py
+++ b/tests/simulation/planted_faults.py
@@ -32,7 +32,7 @@
     elif isinstance(message, Accept):
         self._vote(lambda acceptor: acceptor.handle_accept(message), reply)
     else:
-        self._dispatch(message)
+        self.deciders.dispatch(message)
 
 
 class AnySetAcceptor(Acceptor):
--- a/tests/simulation/test_large_values.py
+++ b/tests/simulation/test_large_values.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from iristrack.controlplane.deciders import transfer_ns
 from iristrack.controlplane.operator_api import CALL_NS, MOST_BODY
-from iristrack.controlplane.register_host import transfer_ns
 from iristrack.register import Committed, ProposerResult, Unavailable, Unchanged
 from iristrack.simulation.register_machines import USUAL_SYNC_NS, RegisterMachine, Surroundings
 from iristrack.simulation.register_network import FAULTLESS, LossyNetwork
