Force a request at a frozen server, and count the requests that are taken back

Cause: it was suspected that a request which lies at a frozen server begins there as that wakes, and not known how often requests are taken back from servers whose weights' time is over.

Change: a test puts a machine that takes connections and bytes, and reads nothing, in a server's place. `figures` and `/metrics` tell `older_weights_taken_back`.

Result: the request is taken back within the bound, and behind it at the server lies the end of its connection.

--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -161,6 +161,7 @@
             attempt.send(self._encode(server, cache), partial(self._may_begin, cache))
             return self._take_answer(attempt, server, cache)
         except NotBegunInTime:
+            self.plane.older_weights.taken_back_count += 1
             self.failed_at.add(server.instance_id)
             self.may_have_run = True
             return False
--- a/iristrack/dataplane/older_weights.py
+++ b/iristrack/dataplane/older_weights.py
@@ -29,6 +29,7 @@
         self.named = named
         self.log = log
         self.begun_count = 0
+        self.taken_back_count = 0  # requests that a server had not begun before their time was over
         self.most_sent_ms = 0  # after a newer revision was named
         self.most_begun_ms = 0
         self._next_line_at = 0
@@ -61,6 +62,7 @@
         """For the log and `/metrics`; times in milliseconds after a newer revision was named."""
         return {
             "older_weights_begun": self.begun_count,
+            "older_weights_taken_back": self.taken_back_count,
             "older_weights_most_sent_ms": self.most_sent_ms,
             "older_weights_most_begun_ms": self.most_begun_ms,
         }
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -134,7 +134,9 @@
     count: int
     known: tuple[Version, ...] = ()  # of all topics, or of those that have just changed
     in_quorum: bool = True  # does a core member reach a quorum of the member set? True from all others
-    named: tuple[NamedAge, ...] = ()  # revisions of weights; from sidecars where a core member has forgotten them
+    named: tuple[
+        NamedAge, ...
+    ] = ()  # revisions of weights; from sidecars where a core member has forgotten them
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/system/test_older_weights.py
+++ b/tests/system/test_older_weights.py
@@ -17,21 +17,25 @@
 from __future__ import annotations
 
 import signal
+import socket
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from iristrack.standin.client import ask_once
 from iristrack.standin.ledger import Arrival
 from iristrack.standin.machine import Machine
+from iristrack.standin.model_server import ModelServer
 from iristrack.standin.operator import Call, call_once
 from iristrack.standin.system import System
-from iristrack.standin.waiting import wait_until
+from iristrack.standin.waiting import PATIENCE_S, wait_until
 from tests.system.scene import AMPLE_RETRIES, CHAT, MODEL, generation, usual_configuration
 from tests.system.weights_scene import VERSION_MS, name_version, wait_past_the_bound, wait_revision
 
 SERVERS = 4
+RECEIVE = 65_536
 SLACK_S = 1.0  # by so much a core member may know a version as younger than it is
 REQUESTS = 40  # of which each meets the server in question with even chances
 
@@ -179,3 +183,68 @@
     edge.start()
     system.wait_ready()
     assert {arrival.revision for arrival in begun(system)} == {2}
+
+
+def figures(edge: Machine) -> dict[str, str]:
+    """What an edge machine tells at `/metrics`."""
+    answer = call_once(edge.readiness, Call("GET", "/metrics"))
+    return dict(line.split(" ") for line in answer.body.decode().splitlines())
+
+
+class FrozenServer:
+    """A server whose process stands still: its machine takes connections and bytes, and nobody reads them yet."""
+
+    def __init__(self, like: ModelServer) -> None:
+        """On the platform's list as an instance of its own, with the weights that the other one has."""
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        host, port = self._listener.getsockname()
+        self.zone = like.zone
+        self._entry = like.entry() | {"instance_id": "i-frozen", "address": f"{host}:{port}"}
+
+    def entry(self) -> dict[str, object]:
+        """The server as the platform's list holds it."""
+        return self._entry
+
+    def wake(self, attempt_id: str) -> tuple[bytes, bool]:
+        """Read what lies there for a request; its bytes, and whether its connection's end lies behind them."""
+        while True:
+            connection, _ = self._listener.accept()
+            connection.settimeout(PATIENCE_S)
+            with connection:
+                received = connection.recv(RECEIVE)
+                if attempt_id.encode() in received:
+                    return received, connection.recv(RECEIVE) == b""
+
+    def stop(self) -> None:
+        """Listen no more."""
+        self._listener.close()
+
+
+def test_a_request_that_lies_at_a_frozen_server_is_followed_there_by_the_end_of_its_connection(
+    new_system,
+) -> None:
+    """It is taken back before its time is over. A server that wakes later and looks sees that nobody waits for it.
+
+    One that begins it all the same does so by itself: nothing that a sidecar sends can reach it before it reads.
+    """
+    bounds = AMPLE_RETRIES | {"version_ms": VERSION_MS, "lease_ms": 1_200}
+    system = new_system(cores=1, edges=1, rule_bounds=bounds)
+    like = system.new_model_server(CHAT, MODEL)
+    frozen = FrozenServer(like)
+    system.platform.add(frozen)
+    system.start()
+    assert system.operator.replace(usual_configuration(1), 0).status == 200
+    system.wait_ready()
+    request = generation()
+    with ThreadPoolExecutor(1) as pool:
+        asked = pool.submit(ask_once, system.edges[0].front, request)
+        acknowledged = name_version(system, 2)
+        answer = asked.result()
+        taken_back_s = time.monotonic() - acknowledged
+    assert answer.status in (502, 503)
+    assert taken_back_s < VERSION_MS / 1000
+    assert figures(system.edges[0])["iristrack_older_weights_taken_back"] == "1"
+    received, is_ended = frozen.wake(request.attempt_id)
+    assert received.startswith(b"POST ")
+    assert is_ended
+    frozen.stop()
