Have the test of Ctrl-C start its program with that signal's default

Change: the test starts its program with the default. Nothing that it asserts has changed.

Result: passes started in the background and in the foreground.

--- a/tests/emulator/test_lab.py
+++ b/tests/emulator/test_lab.py
@@ -139,7 +139,14 @@
         "--jobs",
         "2",
     ]
-    process = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True)
+    # A shell starts its background jobs with this signal ignored, and these tests may be one.
+    process = subprocess.Popen(
+        command,
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
+    )
     table = out / "runs.csv"
     while not (table.exists() and table.read_bytes().count(b"\n") > 2):
         assert process.poll() is None
