Give the loop back between two reads of one server's answer, and search events once

Cause: Attempt._recv read before it waited and waited only where nothing could be read; EventSplitter searched its whole buffer, up to 1 MiB, at each piece (10 to 25 ms), so that pieces less than that apart never let another task run.

Change: each read is preceded by a wait, which takes a turn of the loop and looks at the deadline even where bytes are there; a request that is overdue on older weights is taken back only if its connection is quiet. The search for an event's end goes on where it stopped.

--- a/iristrack/dataplane/attempts.py
+++ b/iristrack/dataplane/attempts.py
@@ -5,6 +5,7 @@
 import re
 import socket
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from enum import Enum
 
 from iristrack.dataplane.clients import ClientConnection, ClientLeft
@@ -203,15 +204,14 @@
             raise AttemptFailed(f"read: {fault}", ran=True) from None
 
     def _recv(self, link: Link) -> bytes:
+        """Wait for the next bytes, also where some are there already: other tasks and the deadline have their turn."""
         while True:
             if self.client.left:
                 raise ClientLeft
-            try:
-                return link.sock.recv(RECEIVE)
-            except BlockingIOError:
-                pass
             if self._wait_readable(link) == WOKEN and self.client.left:
                 raise ClientLeft
+            with suppress(BlockingIOError):
+                return link.sock.recv(RECEIVE)
 
     def _wait_readable(self, link: Link) -> object:
         """Wait for the answer; raises `TimeoutError` at the deadline, `NotBegunInTime` where its head is overdue."""
@@ -225,7 +225,7 @@
             now = clock()
             if now >= self.deadline:
                 raise
-            if now >= self.begin_by(now):
+            if now >= self.begin_by(now) and link.quiet():
                 raise NotBegunInTime from None
             return None
 
--- a/iristrack/dataplane/events.py
+++ b/iristrack/dataplane/events.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 MOST_EVENT = 1 << 20  # bytes of one event
+LONGEST_END = 4  # bytes that end an event
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,18})(?=[\r\n]|$)")
 _VERSIONS = re.compile(rb"(?:^|[\r\n])versions:[ ]?([0-9]{1,18})(?=[\r\n]|$)")
@@ -30,6 +31,7 @@
     def __init__(self) -> None:
         """Nothing has come."""
         self._buffer = bytearray()
+        self.searched = 0  # bytes of the buffer that hold no event's end
 
     @property
     def rest(self) -> bytes:
@@ -40,9 +42,11 @@
         """The events that these bytes complete; raises `EventTooLarge`."""
         self._buffer += data
         events = []
-        while match := _END.search(self._buffer):
+        while match := _END.search(self._buffer, max(0, self.searched - LONGEST_END + 1)):
             events.append(_event(bytes(self._buffer[: match.end()])))
             del self._buffer[: match.end()]
+            self.searched = 0
+        self.searched = len(self._buffer)
         if len(self._buffer) > MOST_EVENT:
             raise EventTooLarge("an event without an end")
         return events
--- /dev/null
+++ b/tests/dataplane/test_event_loop_sharing.py
@@ -0,0 +1,125 @@
+"""One server's answer never keeps an edge machine from its other work.
+
+The incident FAULT: bytes that ended no event were read and searched again and again, and no other task ran meanwhile.
+"""
+
+from __future__ import annotations
+
+import socket
+from types import SimpleNamespace
+
+import pytest
+
+from iristrack.dataplane.attempts import Attempt, AttemptFailed, DeadlinePassed
+from iristrack.dataplane.events import EventSplitter
+from iristrack.http1.connection import Link
+from iristrack.runtime.scheduler import Scheduler, clock
+from tests.dataplane.stand import PATIENCE_NS, yield_turn
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Iristrack-Server-Seal: s1\r\n\r\n"
+PIECE = b"data: no end\n"
+MOST_READS = 20_000
+SHORT_NS = 50_000_000
+LATE_NS = 500_000_000  # after its deadline an answer has to be over
+
+
+class EndlessSocket:
+    """A connection on which there is always something to read."""
+
+    def __init__(self) -> None:
+        self.near, self.far = socket.socketpair()
+        self.far.send(b"x")  # never read: the descriptor stays readable
+        self.reads = 0
+
+    def fileno(self) -> int:
+        return self.near.fileno()
+
+    def send(self, data: bytes) -> int:
+        return len(data)
+
+    def recv(self, most: int, flags: int = 0) -> bytes:
+        self.reads += 1
+        if self.reads > MOST_READS:
+            raise ConnectionResetError
+        return HEAD if self.reads == 1 else PIECE
+
+    def close(self) -> None:
+        self.near.close()
+        self.far.close()
+
+
+def attempt_at(scheduler: Scheduler, sock: EndlessSocket, deadline: int) -> Attempt:
+    link = Link(scheduler, sock, None)
+    links = SimpleNamespace(take=lambda instance, until: link, close=lambda closed: closed.sock.close())
+    return Attempt(
+        scheduler, links, SimpleNamespace(instance_id="i-0"), SimpleNamespace(left=False), deadline
+    )
+
+
+def read_all(attempt: Attempt) -> None:
+    attempt.send(b"a request", lambda: True)
+    attempt.read_head(b"a1")
+    for _ in attempt.pieces():
+        pass
+
+
+@pytest.fixture
+def sock():
+    endless = EndlessSocket()
+    yield endless
+    endless.close()
+
+
+def test_other_tasks_run_between_two_reads_of_an_answer_that_never_pauses(sock: EndlessSocket) -> None:
+    scheduler = Scheduler()
+    attempt = attempt_at(scheduler, sock, clock() + PATIENCE_NS)
+    reads: list[int] = []
+
+    def other() -> None:
+        for _ in range(20):
+            yield_turn(scheduler)
+            reads.append(sock.reads)
+        scheduler.stop()
+
+    scheduler.spawn("answer", read_all, attempt)
+    scheduler.spawn("other", other)
+    scheduler.run()
+    assert len(reads) == 20
+    assert reads[-1] <= 2 * len(reads)
+
+
+def test_an_answer_that_never_pauses_is_over_at_its_deadline(sock: EndlessSocket) -> None:
+    scheduler = Scheduler()
+    deadline = clock() + SHORT_NS
+    attempt = attempt_at(scheduler, sock, deadline)
+    ends: list[tuple[type, int]] = []
+
+    def call() -> None:
+        try:
+            read_all(attempt)
+        except (DeadlinePassed, AttemptFailed) as end:
+            ends.append((type(end), clock() - deadline))
+        scheduler.stop()
+
+    scheduler.spawn("answer", call)
+    scheduler.run()
+    ((end, late_ns),) = ends
+    assert end is DeadlinePassed
+    assert 0 <= late_ns < LATE_NS
+
+
+def test_bytes_that_end_no_event_are_searched_once() -> None:
+    splitter = EventSplitter()
+    pieces = [PIECE * 50] * 400
+    for piece in pieces:
+        assert splitter.feed(piece) == []
+        assert splitter.searched == len(splitter.rest)
+    (event,) = splitter.feed(b"\n")
+    assert len(event.data) == sum(map(len, pieces)) + 1
+
+
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\r\r"])
+def test_an_end_that_comes_in_single_bytes_is_found(end: bytes) -> None:
+    splitter = EventSplitter()
+    found = [event for at in range(len(end)) for event in splitter.feed(end[at : at + 1])]
+    assert [event.data for event in found] == [end]
