Resume streams whose event ids are long, and none behind a piece without an id

Cause: ids of over 18 digits counted as no id, and an answer that had passed pieces on without an id was begun anew at the next server.

Change: ids of up to 1,000 digits are read. Where the last piece that was passed on bears no id, nobody can be asked to go on behind it: the answer is broken off for all to see.

--- a/iristrack/dataplane/events.py
+++ b/iristrack/dataplane/events.py
@@ -8,7 +8,9 @@
 MOST_EVENT = 1 << 20  # bytes of one event
 LONGEST_END = 4  # bytes that end an event
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,18})(?=[\r\n]|$)")
+MOST_ID_DIGITS = 1000  # of an event's id; Python reads numbers of up to 4,300
+_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,%d})(?=[\r\n]|$)" % MOST_ID_DIGITS)
+_DATA = re.compile(rb"(?:^|[\r\n])data(?=[:\r\n]|$)")
 _VERSIONS = re.compile(rb"(?:^|[\r\n])versions:[ ]?([0-9]{1,18})(?=[\r\n]|$)")
 
 
@@ -24,6 +26,11 @@
     id: int | None
     revision: int | None  # of the model's weights, where the event tells of a change
 
+    @property
+    def is_unnamed_piece(self) -> bool:
+        """Does it carry a piece of the answer without an id, behind which no server can be asked to go on?"""
+        return self.id is None and _DATA.search(self.data) is not None
+
 
 class EventSplitter:
     """Takes the stream's bytes in whatever pieces, gives whole events."""
--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -16,7 +16,7 @@
 )
 from iristrack.dataplane.client_answer import ClientAnswer
 from iristrack.dataplane.clients import ClientConnection, ClientLeft
-from iristrack.dataplane.events import EventSplitter, EventTooLarge
+from iristrack.dataplane.events import Event, EventSplitter, EventTooLarge
 from iristrack.dataplane.lateness import Lateness
 from iristrack.dataplane.older_weights import Begun
 from iristrack.dataplane.prompt_parts import CacheUse, PromptParts
@@ -54,6 +54,7 @@
         self.failed_at: set[str] = set()
         self.may_have_run = False
         self.last_event_id = request.last_event_id
+        self.ends_unnamed = False  # did the last piece that was passed on bear no id?
         self.service = self._draw_service()
         self.prompt = PromptParts(plane, request, self.service)
         self.lateness = Lateness(request.arrived, clock())
@@ -98,6 +99,8 @@
         self.prompt.look_again()
         if self.may_have_run and not self.request.idempotent:
             return None
+        if self.ends_unnamed:
+            return None  # another server would begin before that piece
         if self.request.hold_until - now < LEAST_LEFT_NS or not self._may_send():
             return None
         if len(self.tried) >= self.request.route.max_tries:
@@ -293,6 +296,9 @@
         self.answer.whole(head.status, bytes(body), head.passed_on(frozenset()))
 
     def _pass_long(self, attempt: Attempt, first: bytes, pieces) -> None:
+        if self.answer.begun:  # a stream that went on elsewhere and failed there
+            self.answer.break_off()
+            return
         self.answer.begin(attempt.head)
         try:
             self.answer.piece(first)
@@ -310,7 +316,8 @@
         for piece in attempt.pieces():
             self._has_read(server)
             events = splitter.feed(piece)
-            data = b"".join(event.data for event in events if self._is_next(event.id))
+            passed = [event for event in events if self._is_next(event.id)]
+            data = b"".join(event.data for event in passed)
             for event in events:
                 if event.revision is not None and self.request.model is not None:
                     server.saw_revision(self.request.model, event.revision)
@@ -321,15 +328,22 @@
             first = False
             self.lateness.passed_on(clock())
             self.answer.piece(data)
-            self.last_event_id = next(
-                (e.id for e in reversed(events) if e.id is not None), self.last_event_id
-            )
+            self._note_passed_on(passed)
         if splitter.rest:
             raise AttemptFailed("the stream ends inside an event", ran=True)
         if not self.answer.begun:
             self.answer.begin(attempt.head)
         self.answer.end()
 
+    def _note_passed_on(self, events: list[Event]) -> None:
+        """These have gone to the client: where would another server go on?"""
+        for event in events:
+            if event.id is not None:
+                self.last_event_id = event.id
+                self.ends_unnamed = False
+            elif event.is_unnamed_piece:
+                self.ends_unnamed = True
+
     def _is_next(self, event_id: int | None) -> bool:
         return event_id is None or self.last_event_id is None or event_id > self.last_event_id
 
--- a/iristrack/dataplane/requests.py
+++ b/iristrack/dataplane/requests.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from iristrack.configuration.model import Route, RouteKind, Tenant
+from iristrack.dataplane.events import MOST_ID_DIGITS
 from iristrack.dataplane.state import ActiveConfiguration
 from iristrack.http1 import messages as http
 from iristrack.prefix_index.parts import MalformedPrefix, Part, parse_prefix
@@ -186,7 +187,7 @@
 
 def _last_event_id(fields: dict[bytes, bytes]) -> int | None:
     told = fields.get(b"last-event-id", b"")
-    return int(told) if told.isdigit() and len(told) < 19 else None
+    return int(told) if told.isdigit() and len(told) <= MOST_ID_DIGITS else None
 
 
 def _text(value: bytes | None) -> str | None:
--- a/tests/dataplane/test_streams.py
+++ b/tests/dataplane/test_streams.py
@@ -243,3 +243,42 @@
     answer = stand.ask(asking("stream", lines=b"X-Iristrack-Model: daka510000\r\n"))
     assert answer.body == event(1) + told
     assert stand.known("i-0").revisions == {"daka510000": 4}
+
+
+LONG_ID = 2026120400017000000  # 19 digits: a statement's number and six digits for the piece
+
+
+@pytest.mark.parametrize("first", [10**17, LONG_ID, 10**900])
+def test_a_stream_with_long_event_ids_is_resumed_and_comes_once(stand: Stand, first: int) -> None:
+    stand.serve(breaking_after(stream_head() + chunks(first, first + 2)))
+    second = stand.serve(stream(first + 3, first + 5, b"s2"))
+    answer = stand.ask(asking("resumable"))
+    assert answer.body == events(first, first + 5)
+    assert second.header(b"last-event-id") == b"%d" % (first + 2)
+
+
+def test_a_client_that_goes_on_behind_a_long_event_id_is_heard(stand: Stand) -> None:
+    server = stand.serve(stream(LONG_ID, LONG_ID + 3))
+    answer = stand.ask(asking("resumable", lines=b"Last-Event-Id: %d\r\n" % (LONG_ID + 1)))
+    assert server.header(b"last-event-id") == b"%d" % (LONG_ID + 1)
+    assert answer.body == events(LONG_ID + 2, LONG_ID + 3)
+
+
+@pytest.mark.parametrize("piece", [b"data: no id\n\n", b"id: x7\ndata: x\n\n"])
+def test_a_stream_is_not_begun_again_behind_a_piece_without_an_id(stand: Stand, piece: bytes) -> None:
+    stand.serve(breaking_after(stream_head() + http.chunk(piece)))
+    second = stand.serve(stream(1, 3, b"s2"))
+    answer = stand.ask(asking("resumable"))
+    assert not answer.complete
+    assert piece in answer.raw
+    assert second.requests == []
+
+
+def test_a_long_failure_of_the_server_that_resumes_is_no_second_answer(stand: Stand) -> None:
+    length = 300 * 1024
+    failure = b"HTTP/1.1 500 Internal Server Error\r\nX-Iristrack-Server-Seal: s2\r\n"
+    stand.serve(breaking_after(stream_head() + chunks(1, 2)))
+    stand.serve(failure + b"Content-Length: %d\r\n\r\n" % length + b"x" * length)
+    answer = stand.ask(asking("resumable"))
+    assert not answer.complete
+    assert answer.raw.count(b"HTTP/1.1") == 1
