Take a change as a repeat only on its own base, and read long numbers and names as sent

The history tells the base of each change, the revision before it, and only a call on that base is the repeat. Revisions go up to 2^63 - 1, what the wire holds, in documents, amendments and bases alike; higher ones get 400 instead of an internal error. - X-Iristrack-Time-Left-Ms with a fraction of ten digits got 400. - A tenant's name with a space reached servers as %20.

--- a/iristrack/configuration/schema_check.py
+++ b/iristrack/configuration/schema_check.py
@@ -14,7 +14,9 @@
 
 Rules = Mapping[str, Any]
 
-_KNOWN_RULES = frozenset({"type", "required", "nullable", "min", "schema", "valuesrules", "check_with"})
+_KNOWN_RULES = frozenset(
+    {"type", "required", "nullable", "min", "max", "schema", "valuesrules", "check_with"}
+)
 _TYPES: dict[str, frozenset[type]] = {
     "string": frozenset({str}),
     "boolean": frozenset({bool}),
@@ -55,6 +57,8 @@
         return False
     if "min" in rules and not value >= rules["min"]:
         return False
+    if "max" in rules and not value <= rules["max"]:
+        return False
     if "check_with" in rules and not _passes(rules["check_with"], value, name):
         return False
     return _are_valid_items(rules, value)
--- a/iristrack/controlplane/changes.py
+++ b/iristrack/controlplane/changes.py
@@ -104,7 +104,7 @@
 
 def _judge_base(current: ConfigurationValue, taken: TakenRevision, base: int) -> Outcome | None:
     """Judge what does not depend on the content; None where the change may be made."""
-    if taken in current.taken:
+    if _is_repeat(current, taken, base):
         return Unchanged()
     if base != current.revision:
         return Refuse(BASE_FORGOTTEN if _is_forgotten(base, current) else BASE_DIFFERS)
@@ -113,6 +113,17 @@
     return None
 
 
+def _is_repeat(current: ConfigurationValue, taken: TakenRevision, base: int) -> bool:
+    """Was this very change, on this base, taken already? Each was built on the one before it in the history."""
+    if taken not in current.taken:
+        return False
+    place = current.taken.index(taken)
+    if place > 0:
+        return current.taken[place - 1].revision == base
+    is_first = len(current.taken) >= current.sequence
+    return base == 0 if is_first else True  # what the oldest one that is remembered was built on is not known
+
+
 def _successor(
     current: ConfigurationValue, taken: TakenRevision, body: bytes, amendment: bytes = b""
 ) -> bytes:
--- a/iristrack/dataplane/requests.py
+++ b/iristrack/dataplane/requests.py
@@ -18,7 +18,7 @@
 KEYS_UNCONFIRMED = "not run: the keys that are in force could not be confirmed lately"
 
 _ATTEMPT_ID = re.compile(rb"[\x21-\x7e]{1,200}\Z")
-_NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,9})?\Z")
+_NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,40})?\Z")
 _TOKENS = re.compile(rb"([0-9]{1,9})(?:[ \t]*,[ \t]*([0-9]{1,9}))?\Z")
 REPLACED = frozenset(
     {
--- a/iristrack/http1/messages.py
+++ b/iristrack/http1/messages.py
@@ -340,8 +340,12 @@
 
 
 def header_text(text: str) -> bytes:
-    """Any text as a header's value, different texts as different values: what could end a line is percent-encoded."""
-    return quote(text, safe=_PLAIN_TEXT).encode("ascii")
+    """Any text as a header's value, different texts as different values: what could end a line is percent-encoded.
+
+    Spaces inside stay; at the ends they would not count as part of the value.
+    """
+    safe = _PLAIN_TEXT + " " if text == text.strip(" ") else _PLAIN_TEXT
+    return quote(text, safe=safe).encode("ascii")
 
 
 def framing(length: int | None) -> bytes:
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -11,7 +11,7 @@
 import pytest
 
 from iristrack.controlplane import changes
-from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
+from iristrack.controlplane.operator_api import MOST_BODY, BadCall, OperatorApi, decode_call
 from iristrack.controlplane.register_host import RegisterHost
 from iristrack.register import Committed, Overtaken, Rejected, Unavailable
 from iristrack.relay import topics
@@ -351,3 +351,20 @@
     assert core.status(call) in (200, 400, 413)
     assert all(host.voting for host in core.hosts.values())
     assert core.status(version_call({"model_name": "m", "revision": 1})) == 200
+
+
+# ---- long numbers
+
+
+def test_a_change_names_a_long_revision_as_its_base() -> None:
+    """Revisions of 19 digits were taken, and every later change was refused."""
+    longest = (1 << 63) - 1
+    assert decode_call(replace_call(BODY, base=str(longest))).base == longest
+    assert isinstance(decode_call(replace_call(BODY, base=str(longest + 1))), BadCall)
+
+
+@pytest.mark.parametrize("revision", [1 << 63, 10**30])
+def test_a_revision_that_no_register_holds_is_refused(revision: int) -> None:
+    body = encode(sample_document() | {"revision": revision})
+    (finding,) = decode_call(replace_call(body)).findings
+    assert finding.place == "revision"
--- a/tests/dataplane/test_request_lines.py
+++ b/tests/dataplane/test_request_lines.py
@@ -333,3 +333,23 @@
     stand.serve(answer)
     stand.ask(asking("safe", lines=PROMPT))
     assert seen == [(1, -(-3000 // PIECE_TOKENS))]
+
+
+@pytest.mark.parametrize("told", [b"4243.99999999907", b"1.0000000000000000000001", b"9000.0"])
+def test_a_time_left_is_read_as_computers_write_it(stand: Stand, told: bytes) -> None:
+    stand.serve(SOUND)
+    request = asking("safe").replace(b"X-Iristrack-Time-Left-Ms: 9000", b"X-Iristrack-Time-Left-Ms: " + told)
+    assert stand.ask(request).status in (200, 503, 504)  # by how much is left, and never 400
+
+
+@pytest.mark.parametrize(
+    ("tenant", "told"),
+    [("North Hall", b"North Hall"), (" North", b"%20North"), ("50% off", b"50%25 off"), ("a\tb", b"a%09b")],
+)
+def test_a_tenants_name_reaches_the_server_with_its_inner_spaces(
+    stand: Stand, tenant: str, told: bytes
+) -> None:
+    stand.configure(document(tenants=[{"label": tenant, "api_keys": ["key-n"]}]))
+    server = stand.serve(SOUND)
+    stand.ask(asking("safe", lines=key_line("key-n")))
+    assert server.header(b"x-iristrack-tenant") == told
