--- a/iristrack/settings.py
+++ b/iristrack/settings.py
@@ -1,7 +1,7 @@
 """Settings of a process: the JSON file that tells it its machine, addresses and bounds.
 
 The file's path stands in the environment variable named by `SETTINGS_VARIABLE`. Fields
-that are not known are ignored.
+that are not known are ignored, and one that is null or an empty text counts as missing.
 """
 
 from __future__ import annotations
@@ -218,12 +218,22 @@
         return _refuse_document(f"cannot be read: {error}")
     if not isinstance(document, dict):
         return _refuse_document("is not an object")
+    document = _told(document)
     findings = schema_findings(_SCHEMA, document)
     if findings:
         return Error(findings)
     return Ok(_build_settings(document))
 
 
+def _told(document: Document) -> dict[str, Any]:
+    """Leave out the fields that are empty, also within fields."""
+    return {
+        name: _told(value) if isinstance(value, dict) else value
+        for name, value in document.items()
+        if value is not None and value != ""
+    }
+
+
 def parse_address(text: str) -> Address:
     """Read an address written as ``HOST:PORT``; raise `ValueError` for any other text."""
     host, separator, port_text = text.rpartition(":")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -233,3 +233,34 @@
     version_ms: float, fleet_ms: float, expected: float
 ) -> None:
     assert RuleBounds(version_ms=version_ms, version_fleet_ms=fleet_ms).older_weights_ms == expected
+
+
+def optional_places(document: dict[str, Any], within: tuple[str, ...] = ()) -> list[tuple[str, ...]]:
+    """All fields that may be missing, by the names that lead to them."""
+    found = []
+    for name, value in document.items():
+        place = (*within, name)
+        if name not in MINIMAL and place != ("provider_api", "address"):
+            found.append(place)
+        if isinstance(value, dict):
+            found += optional_places(value, place)
+    return found
+
+
+@pytest.mark.parametrize("empty", [None, ""])
+@pytest.mark.parametrize("place", optional_places(sample_settings()))
+def test_an_empty_field_counts_as_missing_and_ends_no_start(
+    place: tuple[str, ...], empty: str | None
+) -> None:
+    """A process that refused such a file ended at each start, on every machine."""
+    told, missing = sample_settings(), sample_settings()
+    for document in (told, missing):
+        holder: Any = document
+        for step in place[:-1]:
+            holder = holder[step]
+        if document is told:
+            holder[place[-1]] = empty
+        else:
+            del holder[place[-1]]
+    assert read_settings(json.dumps(told).encode()) == read_settings(json.dumps(missing).encode())
+    assert not read_settings(json.dumps(told).encode()).is_error()
