--- a/iristrack/controlplane/changes.py
+++ b/iristrack/controlplane/changes.py
@@ -117,6 +117,8 @@
     """Was this very change, on this base, taken already? Each was built on the one before it in the history."""
     if taken not in current.taken:
         return False
+    if taken == current.taken[-1] and base == current.revision:
+        return True  # it is in force, and nothing is built on it
     place = current.taken.index(taken)
     if place > 0:
         return current.taken[place - 1].revision == base
