--- a/iristrack/cli/dataplane.py
+++ b/iristrack/cli/dataplane.py
@@ -1,11 +1,10 @@
 """The data plane's program: `python3 -m iristrack.cli.dataplane`.
 
-Its modules are imported once signals are caught, as that takes most of a start.
+Its modules, argparse among them, are imported once signals are caught, as that takes most of a start.
 """
 
 from __future__ import annotations
 
-import argparse
 import socket
 import sys
 
@@ -14,13 +13,20 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Serve until SIGTERM; the exit status."""
+    with caught_signals() as signals:
+        _read_arguments(arguments)
+        return _serve(signals)
+
+
+def _read_arguments(arguments: list[str] | None) -> None:
+    """There are none; raises `SystemExit` for `--help` and for anything else."""
+    import argparse
+
     parser = argparse.ArgumentParser(
         prog="iristrack.cli.dataplane",
         description="Route clients' requests to model servers, by the settings file that IRISTRACK_CONFIG names.",
     )
     parser.parse_args(arguments)
-    with caught_signals() as signals:
-        return _serve(signals)
 
 
 def _serve(signals: socket.socket) -> int:
