Roll a new version of a service out: begun, watched, finished or reverted by the fleet

Change, by docs/rollouts.md: a register holds each service's roll-out, a duty under a lease and a fence moves it on; the new version gets a small share on few servers for 0.55 of its time, then four steps to the whole, and is finished once nothing is under way at the old servers. What a sidecar may send to the new version is a lease on its own clock.

A fleet played in tests finishes good versions and reverts seven kinds of bad ones within a tenth + 50 requests.

--- a/iristrack/cli/system_sources.py
+++ b/iristrack/cli/system_sources.py
@@ -19,7 +19,7 @@
 from iristrack.relay import topics
 from iristrack.store.cells import CellsError
 from iristrack.store.cells_reader import SeenCells, read_cells
-from iristrack.wire.messages import ConfigurationValue, DutyValue, MembersValue, VersionsValue
+from iristrack.wire.messages import ConfigurationValue, DutyValue, MembersValue, RolloutsValue, VersionsValue
 from iristrack.wire.values import decode_value
 
 MOST_ANSWER_BYTES = 32 << 20
@@ -32,6 +32,8 @@
     topics.MEMBERS: MembersValue,
     topics.MEMBER_SET: MembersValue,
     topics.WEIGHTS_DUTY: DutyValue,
+    topics.ROLLOUTS: RolloutsValue,
+    topics.ROLLOUTS_DUTY: DutyValue,
 }
 
 
--- a/iristrack/controlplane/changes.py
+++ b/iristrack/controlplane/changes.py
@@ -10,11 +10,14 @@
 from iristrack.configuration.findings import Finding
 from iristrack.configuration.model import Configuration
 from iristrack.engines.named_weights import MOST_MODELS
+from iristrack.engines.rollouts import RUNNING
 from iristrack.register import Refuse, Unchanged
 from iristrack.wire.messages import (
     ConfigurationValue,
     DutyValue,
     ModelRevision,
+    RolloutState,
+    RolloutsValue,
     TakenRevision,
     VersionsValue,
 )
@@ -28,6 +31,11 @@
 INVALID = "the configuration that would result is invalid"
 TOO_MANY_MODELS = f"weights of {MOST_MODELS} models are named already"
 
+MOST_ROLLOUTS = 64  # services whose newest roll-out is kept
+ROLLOUT_RUNS = "another roll-out of this service is running"
+ROLLOUT_DIFFERS = "the roll-out is in another state, or has another holder"
+TOO_MANY_ROLLOUTS = f"roll-outs of {MOST_ROLLOUTS} services are kept already"
+
 NO_CONFIGURATION = ConfigurationValue(0, 0, b"")
 Outcome = bytes | Unchanged | Refuse
 Change = Callable[[bytes], Outcome]
@@ -179,3 +187,54 @@
         return encode_value(DutyValue(sequence + 1, node, process, fence + 1, 0))
 
     return change
+
+
+class BeginRollout:
+    """The change that begins a roll-out, unless it was begun already.
+
+    The same order again within `repeat_ms` of the first one is a repeat, whatever has become of it; later, and while
+    that roll-out does not run any more, it is an order of its own.
+    """
+
+    def __init__(
+        self, service: str, version: str, over_ms: int, repeat_ms: int, age_ms: Callable[[], int]
+    ) -> None:
+        """`age_ms` tells how old the newest known value of the register is, at least."""
+        self.service = service
+        self.version = version
+        self.over_ms = over_ms
+        self.repeat_ms = repeat_ms
+        self.age_ms = age_ms
+
+    def __call__(self, value: bytes) -> Outcome:
+        """Judge the present value."""
+        current = decode_value(value, RolloutsValue) or RolloutsValue(0)
+        known = next((r for r in current.rollouts if r.service == self.service), None)
+        if known is not None and self._is_repeat(known):
+            return Unchanged()
+        if known is not None and known.phase == RUNNING:
+            return Refuse(ROLLOUT_RUNS)
+        number = max((r.number for r in current.rollouts), default=0) + 1
+        begun = RolloutState(self.service, self.version, self.over_ms, RUNNING, 0, number)
+        others = [r for r in current.rollouts if r.service != self.service]
+        if len(others) >= MOST_ROLLOUTS:
+            return Refuse(TOO_MANY_ROLLOUTS)
+        return encode_value(RolloutsValue(current.sequence + 1, (*others, begun), current.fence))
+
+    def _is_repeat(self, known: RolloutState) -> bool:
+        if (known.version, known.over_ms) != (self.version, self.over_ms):
+            return False
+        return known.phase == RUNNING or known.elapsed_ms + self.age_ms() <= self.repeat_ms
+
+
+def advance_rollout(before: RolloutState, after: RolloutState, fence: int) -> Change:
+    """Put a state of a roll-out in the place of the one that was seen, under the fence of the duty's holder."""
+
+    def change(value: bytes) -> Outcome:
+        current = decode_value(value, RolloutsValue)
+        if current is None or fence < current.fence or before not in current.rollouts:
+            return Refuse(ROLLOUT_DIFFERS)
+        rollouts = tuple(after if r == before else r for r in current.rollouts)
+        return encode_value(RolloutsValue(current.sequence + 1, rollouts, fence))
+
+    return change
--- a/iristrack/controlplane/distribution.py
+++ b/iristrack/controlplane/distribution.py
@@ -26,7 +26,7 @@
 from iristrack.wire.values import decode_value
 
 # Topics whose changes are announced to subscribers that another member pushes to.
-ANNOUNCED = frozenset({topics.CONFIGURATION, topics.VERSIONS, topics.MEMBERS})
+ANNOUNCED = frozenset({topics.CONFIGURATION, topics.VERSIONS, topics.MEMBERS, topics.ROLLOUTS})
 MOST_AMENDMENTS = 64  # the newest ones that are kept for subscribers
 MOST_AHEAD = 32 * 1024  # bytes queued for a subscriber, above which changes wait for the newest
 
--- a/iristrack/controlplane/load_hub.py
+++ b/iristrack/controlplane/load_hub.py
@@ -51,6 +51,10 @@
         """How many sidecars report, here and at other members."""
         return self.own.sidecars() + self.members.sidecars()
 
+    def total(self) -> dict[str, ServerLoad]:
+        """What all sidecars have under way, by instance."""
+        return _sum(self.own.total, self.members.total)
+
     def _tick(self) -> None:
         now = self.scheduler.now()
         self.own.expire(now)
@@ -70,7 +74,7 @@
     def _tell_sidecars(self, now: int) -> None:
         if not self._reporters:
             return
-        report = self._to_sidecars.next(_sum(self.own.total, self.members.total), self.sidecars, now)
+        report = self._to_sidecars.next(self.total(), self.sidecars, now)
         if report is not None:
             frame = encode(report)
             for connection in self._reporters:
--- a/iristrack/controlplane/operator_api.py
+++ b/iristrack/controlplane/operator_api.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
+from urllib.parse import unquote
 
 from iristrack.configuration.amendment import Amendment, read_amendment
+from iristrack.configuration.building import parse_services
 from iristrack.configuration.document import Finding, read_configuration
 from iristrack.configuration.model import MOST_REVISION, Configuration
 from iristrack.controlplane import changes
@@ -18,7 +21,7 @@
 from iristrack.platform_api.figures import CONTENT_TYPE, figures_text
 from iristrack.register import Committed, Overtaken, ProposerResult, Rejected
 from iristrack.relay import topics
-from iristrack.wire.messages import ConfigurationValue, Update, VersionsValue
+from iristrack.wire.messages import ConfigurationValue, RolloutsValue, Update, VersionsValue
 from iristrack.wire.values import decode_value
 
 NS_PER_MS = 1_000_000
@@ -27,6 +30,9 @@
 RETRY_AFTER = b"Content-Type: application/json\r\nRetry-After: 0.3\r\n"
 MOST_REVISION_DIGITS = len(str(MOST_REVISION))
 BASE_HEADER = b"x-iristrack-base-version"
+MOST_NAME = 200  # characters
+LONGEST_ROLLOUT_S = 86_400
+_ROLLOUT_READ = re.compile(rb"/rollouts/([^/]+)/read\Z")
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +66,22 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class BeginRollout:
+    """`POST /rollouts/begin`."""
+
+    service: str
+    version: str
+    over_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRollout:
+    """`GET /rollouts/SERVICE/read`."""
+
+    service: str
+
+
 @dataclass(frozen=True, slots=True)
 class ReadStatus:
     """`GET /system/status`."""
@@ -85,6 +107,8 @@
     | AmendConfiguration
     | ReadConfiguration
     | NameVersion
+    | BeginRollout
+    | ReadRollout
     | ReadStatus
     | ReadMetrics
     | BadCall
@@ -108,6 +132,10 @@
         return ReadConfiguration()
     if (method, path) == (b"POST", b"/version-put"):
         return _decode_version(message.body)
+    if (method, path) == (b"POST", b"/rollouts/begin"):
+        return _decode_rollout(message.body)
+    if method == b"GET" and (found := _ROLLOUT_READ.match(path)) is not None:
+        return ReadRollout(unquote(found[1].decode("latin-1")))
     if (method, path) == (b"GET", b"/system/status"):
         return ReadStatus(query == b"servers")
     if (method, path) == (b"GET", b"/metrics"):
@@ -155,6 +183,26 @@
     return NameVersion(model, revision)
 
 
+def _decode_rollout(body: bytes) -> Command:
+    try:
+        document = json.loads(body)
+        service, version, over_s = document["target"], document["target_version"], document["over_s"]
+    except (ValueError, KeyError, TypeError, RecursionError):
+        problem = "no JSON with target, target_version and over_s"
+        return BadCall(400, (Finding("body", problem, "send all three"),))
+    findings = []
+    for place, name in (("target", service), ("target_version", version)):
+        if not isinstance(name, str) or not name or len(name) > MOST_NAME or not _is_text(name):
+            findings.append(Finding(place, "no name", "name the service and its version"))
+    is_time = type(over_s) in (int, float) and 0 < over_s <= LONGEST_ROLLOUT_S
+    if not is_time:
+        remedy = f"send the seconds that it may take, up to {LONGEST_ROLLOUT_S}"
+        findings.append(Finding("over_s", "no time", remedy))
+    if findings:
+        return BadCall(400, tuple(findings))
+    return BeginRollout(service, version, max(1, int(over_s * 1000)))
+
+
 def _is_text(value: str) -> bool:
     """Can it be written in UTF-8? JSON may name halves of characters."""
     try:
@@ -174,8 +222,15 @@
         tell_status: TellStatus,
         in_quorum: Callable[[], bool],
         log,
+        repeat_ms: int = 0,
+        rollouts_age_ms: Callable[[], int] = lambda: 0,
     ) -> None:
-        """`publish` tells everyone of a committed value; `in_quorum`: has this process heard from a quorum lately?"""
+        """`publish` tells everyone of a committed value; `in_quorum`: has this process heard from a quorum lately?
+
+        An order is a repeat for `repeat_ms` after the first one; `rollouts_age_ms`: how old are the known roll-outs?
+        """
+        self.repeat_ms = repeat_ms
+        self.rollouts_age_ms = rollouts_age_ms
         self.in_quorum = in_quorum
         self.tell_status = tell_status
         self.register = register
@@ -199,6 +254,10 @@
             return self._amend(command)
         if isinstance(command, NameVersion):
             return self._name_version(command)
+        if isinstance(command, BeginRollout):
+            return self._begin_rollout(command)
+        if isinstance(command, ReadRollout):
+            return self._read_rollout(command)
         return self._read()
 
     def _replace(self, command: ReplaceConfiguration) -> Response:
@@ -256,6 +315,63 @@
         self.log.info("version call", model=command.model, revision=command.revision)
         return Response(200, b"{}")
 
+    def _begin_rollout(self, command: BeginRollout) -> Response:
+        unknown = self._unknown_service(command.service)
+        if unknown is not None:
+            return unknown
+        change = changes.BeginRollout(
+            command.service, command.version, command.over_ms, self.repeat_ms, self.rollouts_age_ms
+        )
+        result = self._change_rollouts(change)
+        self.log.info(
+            "rollout call",
+            service=command.service,
+            version=command.version,
+            over_ms=command.over_ms,
+            result=type(result).__name__,
+        )
+        if isinstance(result, Committed):
+            return Response(200, b"{}")
+        if isinstance(result, Rejected | Overtaken):
+            return Response(409, json.dumps({"message": result.reason}).encode())
+        return no_quorum()
+
+    def _unknown_service(self, service: str) -> Response | None:
+        """The refusal of a service that the newest configuration does not name; None where it does."""
+        deadline = self.register.scheduler.now() + CALL_NS
+        result = self.register.change(topics.CONFIGURATION, changes.unchanged, deadline)
+        if not isinstance(result, Committed):
+            return no_quorum()
+        value = decode_value(result.value, ConfigurationValue)
+        services = () if value is None or not value.body else parse_services(value.body)
+        if service in {known.label for known in services}:
+            return None
+        return _findings(
+            BadCall(422, (Finding("target", "no such service", "name one of the configuration"),))
+        )
+
+    def _read_rollout(self, command: ReadRollout) -> Response:
+        result = self._change_rollouts(changes.unchanged)
+        if not isinstance(result, Committed):
+            return no_quorum()
+        value = decode_value(result.value, RolloutsValue)
+        states = () if value is None else value.rollouts
+        state = next((state for state in states if state.service == command.service), None)
+        if state is None:
+            return Response(404, b'{"message":"no roll-out of this service"}')
+        told = {"phase": state.phase, "target_version": state.version, "share": state.share / 1000}
+        return Response(200, json.dumps(told).encode())
+
+    def _change_rollouts(self, change: changes.Change) -> ProposerResult:
+        """Change the register of the roll-outs, and tell everyone what it holds."""
+        deadline = self.register.scheduler.now() + CALL_NS
+        result = self.register.change(topics.ROLLOUTS, change, deadline)
+        if isinstance(result, Committed | Rejected | Overtaken):
+            value = decode_value(result.value, RolloutsValue)
+            if value is not None:
+                self.publish(Update(topics.ROLLOUTS, value.sequence, result.value))
+        return result
+
     def _publish_configuration(self, result: ProposerResult) -> None:
         if isinstance(result, Committed | Rejected | Overtaken):
             value = decode_value(result.value, ConfigurationValue)
--- a/iristrack/controlplane/program.py
+++ b/iristrack/controlplane/program.py
@@ -23,6 +23,7 @@
 from iristrack.controlplane.operator_api import MOST_BODY, OperatorApi
 from iristrack.controlplane.quorum_contact import LATELY_NS, QuorumContact
 from iristrack.controlplane.register_host import RegisterHost
+from iristrack.controlplane.rollouts import RolloutsDuty
 from iristrack.controlplane.status import PeerBook, status_document
 from iristrack.controlplane.weights import WeightsDuty
 from iristrack.engines.named_weights import NamedWeights
@@ -47,6 +48,8 @@
     NewestQuery,
     Prepare,
     Promise,
+    RolloutEvidence,
+    RolloutsValue,
     ServerLoads,
     Subscribe,
     Update,
@@ -66,10 +69,13 @@
 DISK_STOP_S = 1.0
 PROCESS_BITS = 48  # of the name that each start of the process draws
 CORE_ROLE = "controlplane"
+REPEAT_SHARE = 1.5  # of `ack_ms`, for which an order that is not a configuration may be a repeat
 VALUE_TYPES = {
     topics.CONFIGURATION: ConfigurationValue,
     topics.VERSIONS: VersionsValue,
     topics.WEIGHTS_DUTY: DutyValue,
+    topics.ROLLOUTS: RolloutsValue,
+    topics.ROLLOUTS_DUTY: DutyValue,
     topics.MEMBERS: MembersValue,
     topics.MEMBER_SET: MembersValue,
 }
@@ -158,6 +164,8 @@
             lambda servers: status_document(self, servers),
             self.quorum.holds,
             self.log,
+            int(REPEAT_SHARE * settings.rule_bounds.ack_ms),
+            lambda: self.rollouts.age_ms(),
         )
         bind = settings.bind.control_plane
         self._stop_serving = self.environment.serve_operators(
@@ -173,7 +181,17 @@
             self.distribution.publish,
             self.log,
         )
+        self.rollouts = RolloutsDuty(
+            self.scheduler,
+            settings,
+            self.process,
+            self.register,
+            self.load_hub.total,
+            self.distribution.publish,
+            self.log,
+        )
         self.distribution.on_learned.append(self.weights.on_update)
+        self.distribution.on_learned.append(self.rollouts.on_update)
         self.distribution.on_learned.append(self._on_learned)
         self.distribution.on_learned.append(self._note_named_weights)
         if self.register.founded:
@@ -344,6 +362,8 @@
             self._on_heartbeat(connection, message)
         elif isinstance(message, ServerLoads):
             self._on_loads(connection, message)
+        elif isinstance(message, RolloutEvidence):
+            self.rollouts.take_evidence(message)
         elif isinstance(message, KeyLeaseRequest):
             self.key_leases.request(connection, message)
         elif isinstance(message, NewestQuery):
--- a/iristrack/dataplane/control_link.py
+++ b/iristrack/dataplane/control_link.py
@@ -35,6 +35,8 @@
     MembersValue,
     Message,
     NamedAge,
+    RolloutEvidence,
+    RolloutsValue,
     ServerLoads,
     Subscribe,
     Update,
@@ -49,6 +51,7 @@
     2 * LONGEST_HEARTBEAT_NS
 )  # so long heartbeats bear the ages of named weights, once a member lacks them
 LEASE_TICK_NS = 100 * NS_PER_MS  # how often it is looked whether the lease of keys is to be renewed
+EVIDENCE_NS = 250 * NS_PER_MS  # between two reports of how requests under roll-outs end
 BUSY_NS = 3000 * NS_PER_MS  # a server that takes new weights is left alone for so long unless told otherwise
 
 
@@ -73,12 +76,17 @@
         self.loads = LoadReporter(plane, self)
         self._sequence = -1  # of the configuration in force
         self._busy: set[str] = set()
+        self._told_rollouts: dict[str, tuple[str, int]] = {}  # phase and share, for the log
+        self._evidence_timer: Timer | None = None
+        self._evidence_count = 0
+        self._evidence_told = 0  # answers that were counted when evidence was told last
         self._handlers: dict[str, Callable[[bytes], None]] = {
             topics.CONFIGURATION: self._on_configuration,
             topics.VERSIONS: self._on_versions,
             topics.MEMBERS: self._on_members,
             topics.BUSY_SERVERS: self._on_busy_servers,
             topics.SERVERS: servers.on_update,
+            topics.ROLLOUTS: self._on_rollouts,
         }
         self.dialers = DialerSet(
             plane.scheduler,
@@ -175,6 +183,8 @@
     def _on_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
         """A member tells how new its topics are: what the hub does not push in time is asked for."""
         self.core.heard(connection, message)
+        if message.in_quorum and self._knows_rollouts_of(message):
+            self.plane.rollouts.confirmed(self.plane.scheduler.now())
         self._on_named_ages(message.named)
         self._look_who_knows_ages(message)
         self._choose_hub()
@@ -243,6 +253,52 @@
             if not connection.closed:
                 connection.send(request)
 
+    # ---- roll-outs
+
+    def _on_rollouts(self, value: bytes) -> None:
+        told = decode_value(value, RolloutsValue)
+        if told is None:
+            return
+        self.plane.rollouts.follow(told.rollouts)
+        for state in told.rollouts:
+            if (state.phase, state.share) != self._told_rollouts.get(state.service):
+                self._told_rollouts[state.service] = (state.phase, state.share)
+                self.log.info(
+                    "rollout",
+                    service=state.service,
+                    version=state.version,
+                    phase=state.phase,
+                    share=state.share,
+                )
+        self._tell_evidence()
+
+    def _knows_rollouts_of(self, message: Heartbeat) -> bool:
+        """Does the sender know no newer states of the roll-outs than are followed here?"""
+        known = self.topics.get(topics.ROLLOUTS)
+        sequence = -1 if known is None else known.sequence
+        return all(v.sequence <= sequence for v in message.known if v.topic == topics.ROLLOUTS)
+
+    def _tell_evidence(self) -> None:
+        """Tell every core member how requests under roll-outs have ended, a few times a second while any runs."""
+        rollouts = self.plane.rollouts
+        if not rollouts.running:
+            return
+        now = self.plane.scheduler.now()
+        if self._evidence_timer is None:
+            self._evidence_timer = self.plane.scheduler.call_at(now + EVIDENCE_NS, self._evidence_due)
+
+    def _evidence_due(self) -> None:
+        self._evidence_timer = None
+        rollouts = self.plane.rollouts
+        if rollouts.counted != self._evidence_told:
+            self._evidence_told = rollouts.counted
+            self._evidence_count += 1
+            evidence = RolloutEvidence(self.process, self._evidence_count, rollouts.counts())
+            for connection in list(self.core.members):
+                if not connection.closed:
+                    connection.send(evidence)
+        self._tell_evidence()
+
     def _on_versions(self, value: bytes) -> None:
         told = decode_value(value, VersionsValue)
         if told is None:
--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -133,7 +133,8 @@
     # ---- which server
 
     def _choose(self, now: int) -> Server | None:
-        listed = self.plane.servers.of_service(self.service)
+        every = self.plane.servers.of_service(self.service)
+        listed = self.plane.rollouts.allowed(self.service, every, bool(self.tried), now, self.plane.rng)
         usable = [s for s in listed if s.usable(now) and s.instance_id not in self.failed_at]
         usable = [s for s in usable if not s.left_out] or usable
         model = self.request.model
@@ -176,6 +177,7 @@
         except (ClientLeft, DeadlinePassed):
             if attempt.head is None and clock() - began > SILENT_NS:
                 server.failed(clock())  # it said nothing for so long that the client has given up
+                self.plane.rollouts.failed(server, request.route.label)
             raise
         except (EventTooLarge, http.Malformed) as fault:
             self._note_failure(server, AttemptFailed(str(fault), ran=True))
@@ -201,6 +203,7 @@
         self._unread = 0
 
     def _note_failure(self, server: Server, failure: AttemptFailed) -> None:
+        self.plane.rollouts.failed(server, self.request.route.label)
         self.failed_at.add(server.instance_id)
         self.may_have_run = self.may_have_run or failure.ran
         server.failed(clock())
@@ -241,6 +244,7 @@
         if said is Verdict.FAILURE:
             if head.status >= 500:
                 server.outcomes.failed(clock())
+                self.plane.rollouts.failed(server, request.route.label)
             self._pass_whole(attempt)
             return True
         if request.model is not None and cache is not None and request.parts:
@@ -251,6 +255,9 @@
         else:
             self._pass_whole(attempt)
         server.succeeded(clock())
+        times = self.lateness.times()
+        if times is not None:
+            self.plane.rollouts.answered(server, request.route.label, times)
         attempt.finish()
         return True
 
--- a/iristrack/dataplane/lateness.py
+++ b/iristrack/dataplane/lateness.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 from iristrack.configuration.model import Route
+from iristrack.placement.rollouts import AnswerTimes
 
 NS_PER_MS = 1_000_000
 EARLY_SHARE = 0.5  # of the aim; what had passed before the last sending counts as its reason from there on
@@ -37,6 +38,7 @@
         "_longest_pause",
         "_others",
         "_own",
+        "_parts",
         "_sent",
     )
 
@@ -51,6 +53,7 @@
         self._first_word: int | None = None
         self._last_word = 0
         self._longest_pause = 0
+        self._parts = 0  # of the answer, that were passed on
 
     def sent(self, now: int, own_pieces: int, others_load: int, fetches: bool) -> None:
         """It is sent to a server that has so much to do for it and for others (pieces), and may fetch its parts."""
@@ -64,6 +67,14 @@
         else:
             self._longest_pause = max(self._longest_pause, now - self._last_word)
         self._last_word = now
+        self._parts += 1
+
+    def times(self) -> AnswerTimes | None:
+        """How long the answer took; None where there was none, or parts of it came from an earlier server."""
+        if self._first_word is None or self._sent is None or self._first_word < self._sent:
+            return None
+        pause_ns = (self._last_word - self._first_word) // max(1, self._parts - 1)
+        return AnswerTimes(self._first_word - self._sent, pause_ns)
 
     def reason(self, route: Route) -> LateReason | None:
         """Why the answer was late; None where it was in time, or there was none."""
--- a/iristrack/dataplane/state.py
+++ b/iristrack/dataplane/state.py
@@ -18,6 +18,7 @@
 from iristrack.dataplane.start_gate import StartGate
 from iristrack.engines.named_weights import NamedWeights
 from iristrack.net.links import Links
+from iristrack.placement.rollouts import Rollouts
 from iristrack.placement.servers import ServerTable
 from iristrack.prefix_index.index import PrefixIndex
 from iristrack.prefix_index.inflight import FirstReads
@@ -100,6 +101,7 @@
     index: PrefixIndex = field(default_factory=lambda: PrefixIndex(MOST_INDEX_ENTRIES))
     first_reads: FirstReads = field(default_factory=FirstReads)
     named_weights: NamedWeights = field(default_factory=NamedWeights)
+    rollouts: Rollouts = field(default_factory=Rollouts)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     counters: Counters = field(default_factory=Counters)
     late: LateCounts = field(default_factory=LateCounts)
--- /dev/null
+++ b/iristrack/engines/rollouts.py
@@ -0,0 +1,81 @@
+"""The plan of one roll-out: how much of a service's traffic its new version gets when, and how it ends. No I/O.
+
+    waiting     no server of the new version is ready yet: it gets nothing
+    canary      a small share, sent to so few of its servers that these are as busy as all would be with all of it
+    steps       the share rises quickly to the whole
+    whole       it gets everything, until nothing is under way at the old version's servers
+    finished    the old version's servers may stop
+    reverted    from any step, as soon as the evidence speaks against it: it gets nothing any more
+
+The share is low for most of the time and rises late, since what a bad version may get is counted over the whole time
+from the order to its deadline, and a version may turn bad late. Times are shares of that time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from iristrack.wire.messages import RolloutState
+
+RUNNING, FINISHED, REVERTED = "running", "finished", "reverted"
+WHOLE = 1000  # of the share, in thousandths
+CANARY_SHARE = 40
+CANARY_ENDS = 0.55  # of the time
+STEPS = ((0.55, 100), (0.60, 200), (0.65, 450), (0.70, WHOLE))  # of the time, and the share from then on
+FEWEST_ANSWERS = 20  # of the new version, before its share rises, while there is time to wait for them
+LATEST_WAIT = 0.62  # of the time, until which these are waited for
+NS_PER_MS = 1_000_000
+LEAST_WHOLE_NS = 1500 * NS_PER_MS  # at the whole share, before it may be finished
+LATEST_FINISH = 0.93  # of the time: it is finished though something is under way at the old version's servers
+LEAST_BUSY_SERVERS = 2
+CONCENTRATION = 0.8  # of the servers that a share would need: those are a little busier than all would be
+
+
+@dataclass(frozen=True, slots=True)
+class Situation:
+    """What the holder of the duty sees of one roll-out."""
+
+    elapsed_ns: int  # since the order
+    whole_ns: int  # since the new version was given everything; 0: it was not
+    new_ready: int  # servers of the new version that are ready
+    old_ready: int
+    answers: int  # of the new version so far
+    under_way_old: int  # requests at servers of the old version
+    is_bad: bool
+
+
+def next_state(state: RolloutState, situation: Situation) -> RolloutState:
+    """The state that follows; the same one where nothing is to be changed."""
+    if state.phase != RUNNING:
+        return state
+    if situation.is_bad:
+        return replace(state, phase=REVERTED, share=0)
+    if state.share >= WHOLE:
+        return replace(state, phase=FINISHED) if _may_finish(state, situation) else state
+    return replace(state, share=max(state.share, _share(state, situation)))
+
+
+def _share(state: RolloutState, situation: Situation) -> int:
+    if situation.new_ready == 0:
+        return 0
+    if situation.old_ready == 0:
+        return WHOLE
+    time = situation.elapsed_ns / (state.over_ms * NS_PER_MS)
+    if time < CANARY_ENDS or (situation.answers < FEWEST_ANSWERS and time < LATEST_WAIT):
+        return CANARY_SHARE
+    steps = [share for at, share in STEPS if share > state.share and time >= at]
+    return min(steps, default=CANARY_SHARE)  # one step at a time, whatever was missed
+
+
+def _may_finish(state: RolloutState, situation: Situation) -> bool:
+    if situation.whole_ns < LEAST_WHOLE_NS:
+        return False
+    is_late = situation.elapsed_ns >= LATEST_FINISH * state.over_ms * NS_PER_MS
+    return situation.new_ready > 0 and (situation.under_way_old == 0 or is_late)
+
+
+def busy_servers(servers: int, share: int) -> int:
+    """To how many of so many servers a share of the traffic is sent."""
+    if share >= WHOLE:
+        return servers
+    return min(servers, max(LEAST_BUSY_SERVERS, round(servers * share / WHOLE * CONCENTRATION)))
--- a/iristrack/placement/servers.py
+++ b/iristrack/placement/servers.py
@@ -27,6 +27,7 @@
     ready: bool  # false while it drains
     capacity: int
     models: tuple[tuple[str, int], ...] = ()  # (label, revision of its weights)
+    software: str = ""  # the version of its software
 
 
 @dataclass(slots=True, eq=False)
--- a/iristrack/platform_api/server_list.py
+++ b/iristrack/platform_api/server_list.py
@@ -46,6 +46,7 @@
         ready=row.get("phase", READY) == READY,
         capacity=int(row.get("capacity", 0)),
         models=models,
+        software=str(row.get("revision", "")),
     )
 
 
@@ -63,12 +64,14 @@
                 tuple(ModelRevision(model, revision) for model, revision in e.models),
             )
             for e in entries
-        )
+        ),
+        tuple(e.software for e in entries),
     )
 
 
 def from_message(value: ServersValue) -> list[ListedServer]:
     """The list as it was handed on."""
+    software = value.software if len(value.software) == len(value.servers) else ("",) * len(value.servers)
     return [
         ListedServer(
             e.instance,
@@ -78,8 +81,9 @@
             e.ready,
             e.capacity,
             tuple((m.model, m.revision) for m in e.models),
+            version,
         )
-        for e in value.servers
+        for e, version in zip(value.servers, software, strict=True)
     ]
 
 
--- a/iristrack/standin/model_server.py
+++ b/iristrack/standin/model_server.py
@@ -55,6 +55,9 @@
         self.token_pause_s = token_pause_s
         self.kept = KeptParts(epoch=number)
         self.weights = Weights(model, revision, self.kept)
+        self.software = "v1"  # the version that the platform's list tells
+        self.fails_each: int | None = None  # of so many requests one fails: a bad version
+        self._requests = count(1)
         self.draining = False
         self.shed_all = False
         handler = type("BoundModelHandler", (ModelHandler,), {"owner": self})
@@ -72,7 +75,7 @@
             "target": self.service,
             "address": self.address,
             "zone": self.zone,
-            "revision": "v1",
+            "revision": self.software,
             "capacity": CAPACITY,
             "phase": "draining" if self.draining else "ready",
             "cold_left_ms": 0,
@@ -80,6 +83,12 @@
             "model_list": self.weights.model_list(),
         }
 
+    def behaviour(self, attempt_id: str) -> Behaviour:
+        """How the next request is treated."""
+        scripted = self.script.next(attempt_id)
+        is_bad = self.fails_each is not None and next(self._requests) % self.fails_each == 0
+        return Behaviour(Fault.ERROR) if is_bad and scripted is NORMAL else scripted
+
     def stop(self) -> None:
         """End like a machine that loses power: every connection ends, the port is free."""
         self.host.stop()
@@ -136,7 +145,7 @@
     def _take_request(self) -> None:
         server = self.owner
         arrival = self._read_arrival()
-        behaviour = server.script.next(arrival.attempt_id)
+        behaviour = server.behaviour(arrival.attempt_id)
         status = self._refusal(arrival, behaviour)
         if status:
             arrival.refusal = status
--- a/iristrack/standin/operator.py
+++ b/iristrack/standin/operator.py
@@ -92,6 +92,15 @@
         body = json.dumps({"model_name": model, "revision": revision}).encode()
         return self.call(Call("POST", "/version-put", body, (("Content-Type", "application/json"),)))
 
+    def begin_rollout(self, service: str, version: str, over_s: float) -> Answer:
+        """Order a roll-out until there is a clear answer."""
+        body = json.dumps({"target": service, "target_version": version, "over_s": over_s}).encode()
+        return self.call(Call("POST", "/rollouts/begin", body, (("Content-Type", "application/json"),)))
+
+    def read_rollout(self, service: str) -> Answer:
+        """Read how a roll-out stands."""
+        return self.call(Call("GET", f"/rollouts/{service}/read"))
+
     def call(self, call: Call, first: str | None = None, patience_s: float = PATIENCE_S) -> Answer:
         """Make a call until it is answered clearly; raises `NeverCame`."""
         deadline = time.monotonic() + patience_s
--- a/iristrack/wire/codec.py
+++ b/iristrack/wire/codec.py
@@ -88,7 +88,7 @@
     MessageKind(13, messages.MembersValue, version=4),
     MessageKind(14, messages.BusyServers, version=2),
     MessageKind(15, messages.ServerLoads, version=2),
-    MessageKind(16, messages.ServersValue),
+    MessageKind(16, messages.ServersValue, version=2),
     MessageKind(17, messages.KeptBatch),
     MessageKind(18, messages.KeptSubscribe, version=2),
     MessageKind(19, messages.ConfigurationAmendment),
@@ -96,6 +96,8 @@
     MessageKind(21, messages.NewestAnswer),
     MessageKind(22, messages.KeyLeaseRequest),
     MessageKind(23, messages.KeyLeaseGrant),
+    MessageKind(24, messages.RolloutsValue),
+    MessageKind(25, messages.RolloutEvidence),
 )
 
 
--- a/iristrack/wire/messages.py
+++ b/iristrack/wire/messages.py
@@ -297,6 +297,52 @@
     """The platform's list, as one core member has fetched it for all."""
 
     servers: tuple[ServerEntry, ...] = ()
+    software: tuple[str, ...] = ()  # the version of each server's software, in the same order
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutState:
+    """A roll-out of a new version of a service (`engines/rollouts.py`)."""
+
+    service: str
+    version: str  # of the software of its servers
+    over_ms: int  # from the order to the deadline
+    phase: str
+    share: int  # of the service's requests that the version gets, in thousandths
+    number: int  # of the order: each has a higher one
+    elapsed_ms: int = 0  # since the order, at least, when this was written
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutsValue:
+    """The register's value of the roll-outs, the newest of each service; written under the duty's fence."""
+
+    sequence: int
+    rollouts: tuple[RolloutState, ...] = ()
+    fence: int = 0  # of the holder that wrote last
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerCounts:
+    """How requests of one route ended at one server of a service under roll-out, since the sender began to count."""
+
+    service: str
+    number: int  # of the roll-out
+    is_new: bool  # was the server of the version that is brought in?
+    route: str
+    instance: str  # "" for all servers of the version that is there
+    good: int
+    failed: int
+    slow: int
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutEvidence:
+    """All that one process of the data plane has counted; each message takes the place of the one before it."""
+
+    process: str
+    count: int
+    answers: tuple[AnswerCounts, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -356,4 +402,6 @@
     | NewestAnswer
     | KeyLeaseRequest
     | KeyLeaseGrant
+    | RolloutsValue
+    | RolloutEvidence
 )
--- /dev/null
+++ b/tests/engines/test_rollouts.py
@@ -0,0 +1,182 @@
+"""The plan of a roll-out: its share over time, and its end. A fleet is played in steps of 50 ms."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from iristrack.engines.rollouts import (
+    CANARY_SHARE,
+    FINISHED,
+    REVERTED,
+    RUNNING,
+    WHOLE,
+    Situation,
+    busy_servers,
+    next_state,
+)
+from iristrack.engines.version_test import Answers, VersionTest
+from iristrack.wire.messages import RolloutState
+
+NS_PER_MS = 1_000_000
+OVER_MS = 16_000
+BEGUN = RolloutState("pool", "v2", OVER_MS, RUNNING, 0, 1)
+CALM = Situation(0, 0, new_ready=5, old_ready=5, answers=100, under_way_old=0, is_bad=False)
+
+
+def at(time: float, **more: object) -> Situation:
+    return replace(CALM, elapsed_ns=int(time * OVER_MS * NS_PER_MS), **more)
+
+
+def test_nothing_is_sent_before_a_server_of_the_version_is_ready() -> None:
+    assert next_state(BEGUN, at(0.4, new_ready=0)).share == 0
+    assert next_state(BEGUN, at(0.01)).share == CANARY_SHARE
+
+
+def test_the_share_rises_one_step_at_a_time_and_never_falls() -> None:
+    state, shares = BEGUN, []
+    for _ in range(8):
+        state = next_state(state, at(0.9))
+        shares.append(state.share)
+    assert shares[-1] == WHOLE
+    assert shares == sorted(shares)
+    assert len(set(shares)) >= 4
+
+
+def test_it_waits_for_evidence_while_there_is_time() -> None:
+    canary = replace(BEGUN, share=CANARY_SHARE)
+    assert next_state(canary, at(0.58, answers=3)).share == CANARY_SHARE
+    assert next_state(canary, at(0.58)).share > CANARY_SHARE
+    assert next_state(canary, at(0.65, answers=3)).share > CANARY_SHARE
+
+
+@pytest.mark.parametrize("share", [0, CANARY_SHARE, WHOLE])
+def test_a_bad_version_is_reverted_from_any_step_and_for_good(share: int) -> None:
+    reverted = next_state(replace(BEGUN, share=share), at(0.5, is_bad=True))
+    assert (reverted.phase, reverted.share) == (REVERTED, 0)
+    assert next_state(reverted, at(0.9)) == reverted
+
+
+def test_it_is_finished_once_nothing_is_under_way_at_the_old_servers() -> None:
+    whole = replace(BEGUN, share=WHOLE)
+    long = 2_000 * NS_PER_MS
+    assert next_state(whole, at(0.8, whole_ns=long, under_way_old=3)).phase == RUNNING
+    assert next_state(whole, at(0.8, whole_ns=100 * NS_PER_MS)).phase == RUNNING
+    assert next_state(whole, at(0.8, whole_ns=long)).phase == FINISHED
+    assert next_state(whole, at(0.95, whole_ns=long, under_way_old=3)).phase == FINISHED
+    assert next_state(whole, at(0.95, whole_ns=long, new_ready=0)).phase == RUNNING
+
+
+def test_a_share_goes_to_so_few_servers_that_they_are_as_busy_as_all_would_be() -> None:
+    assert busy_servers(70, WHOLE) == 70
+    assert busy_servers(70, 100) <= 7
+    assert busy_servers(1, CANARY_SHARE) == 1
+    assert busy_servers(5, CANARY_SHARE) == 2
+
+
+# ---- a fleet
+
+STEP_MS = 50
+HEARD_LATE_MS = 450  # until evidence is told, judged, written and in force
+NEW_READY_MS = 1_500
+
+
+@dataclass
+class Fleet:
+    """Requests at a steady rate, of which the new version gets its share; answers come some time later."""
+
+    seed: int
+    per_s: int
+    bad_share: float = 0.0
+    bad_from_ms: int = 0
+    bad_route: str | None = None
+    slow: bool = False
+    state: RolloutState = BEGUN
+    sent_new: int = 0
+    sent: int = 0
+    counts: dict = field(default_factory=dict)
+    old: dict = field(default_factory=dict)
+
+    def play(self) -> None:
+        draw, test = random.Random(self.seed), VersionTest()
+        in_force: list[tuple[int, int]] = []
+        answers: list[tuple[int, bool, str, str, int]] = []
+        whole_at, verdict = 0, None
+        for now in range(0, OVER_MS, STEP_MS):
+            share = next((s for since, s in reversed(in_force) if since + HEARD_LATE_MS <= now), 0)
+            for _ in range(
+                self.per_s * STEP_MS // 1000 + (draw.random() < (self.per_s * STEP_MS / 1000) % 1)
+            ):
+                self.sent += 1
+                is_new = draw.random() * WHOLE < share
+                self.sent_new += is_new
+                answers.append((now + draw.randint(40, 600), is_new, *self._outcome(draw, now, is_new)))
+            for answer in [a for a in answers if a[0] <= now]:
+                answers.remove(answer)
+                self._count(answer)
+            verdict = verdict or test.look(self.counts, self.old)
+            whole_at = whole_at or (now if self.state.share >= WHOLE else 0)
+            situation = Situation(
+                elapsed_ns=now * NS_PER_MS,
+                whole_ns=(now - whole_at) * NS_PER_MS if whole_at else 0,
+                new_ready=9 if now >= NEW_READY_MS else 0,
+                old_ready=9,
+                answers=test.answers.total,
+                under_way_old=sum(not a[1] for a in answers),
+                is_bad=verdict is not None,
+            )
+            after = next_state(self.state, situation)
+            if after != self.state:
+                in_force.append((now, after.share))
+                self.state = after
+
+    def _outcome(self, draw: random.Random, now: int, is_new: bool) -> tuple[str, str, int]:
+        route = draw.choice(("statement", "query"))
+        server = f"s{draw.randint(1, 3)}"
+        is_hit = is_new and now >= self.bad_from_ms and self.bad_route in (None, route)
+        if is_hit and draw.random() < self.bad_share:
+            return route, server, 2 if self.slow else 1
+        usual = draw.random()
+        return route, server, 1 if usual < 0.004 else 2 if usual < 0.05 else 0
+
+    def _count(self, answer: tuple[int, bool, str, str, int]) -> None:
+        _, is_new, route, server, kind = answer
+        one = Answers(*(int(kind == number) for number in range(3)))
+        table, place = (self.counts, (route, server)) if is_new else (self.old, route)
+        table[place] = table.get(place, Answers()).plus(one)
+
+    @property
+    def most_allowed(self) -> float:
+        return 0.1 * self.sent + 50
+
+
+@pytest.mark.parametrize("per_s", [30, 200])
+@pytest.mark.parametrize("seed", range(6))
+def test_a_good_version_has_everything_before_its_deadline(seed: int, per_s: int) -> None:
+    fleet = Fleet(seed, per_s)
+    fleet.play()
+    assert fleet.state.phase == FINISHED
+
+
+@pytest.mark.parametrize("per_s", [30, 200])
+@pytest.mark.parametrize(
+    "badness",
+    [
+        {"bad_share": 0.5},
+        {"bad_share": 0.5, "slow": True},
+        {"bad_share": 0.5, "bad_route": "query"},
+        {"bad_share": 0.5, "bad_from_ms": 3_000},
+        {"bad_share": 0.5, "bad_from_ms": 7_000},
+        {"bad_share": 0.9, "bad_from_ms": 10_500},
+        {"bad_share": 0.3},
+    ],
+    ids=["failing", "slow", "one route", "late", "later", "in the steps", "a third"],
+)
+@pytest.mark.parametrize("seed", range(4))
+def test_a_bad_version_is_reverted_within_what_it_may_get(seed: int, badness: dict, per_s: int) -> None:
+    fleet = Fleet(seed, per_s, **badness)
+    fleet.play()
+    assert fleet.state.phase == REVERTED
+    assert fleet.sent_new <= fleet.most_allowed
