Let the simulation lose no more disks than is borne until all have been back

The simulation meant to count disks that are not made good, whatever time has passed, but since disks bear a name it took a disk with that record for a sound one.

--- a/iristrack/simulation/control.py
+++ b/iristrack/simulation/control.py
@@ -162,6 +162,7 @@
         if scenario.weights_pause_ns:
             self.operators.append(self._weights_operator())
         self._unsettled_at = 0
+        self._away_at = 0  # when a core machine was down, cut off, frozen or without its disk last
         self._lost_until: dict[str, int] = {}  # by machine: until when it counts as lost
         self._cut_now: set[tuple[str, str]] = set()
         self._lonely: set[str] = set()  # sidecars that reach the minority of a cut alone
@@ -206,6 +207,8 @@
 
     def _tick(self) -> None:
         now = self.world.now
+        if self._cut_now or any(core.is_away for core in self.cores):
+            self._away_at = now
         if not self._has_majority():
             self._unsettled_at = now
         calm_since = self._unsettled_at + CONTACT_NS
@@ -274,11 +277,13 @@
         now = self.world.now
         members = self.newest_set()
         self._lost_until = {name: until for name, until in self._lost_until.items() if until > now}
-        # Disks that are lost and not made good yet, whatever time has passed: no more of these than is borne.
+        # While machines are away, lost disks cannot be made good: until all have been back for the time to catch up,
+        # no more of these than is borne.
+        all_are_back = now - self._away_at >= CATCH_UP_NS
         empty = [
             core
             for core in self.cores
-            if core.address in members.members and (core.gone or not core.disk.identity)
+            if core.address in members.members and (core.gone or (core.is_empty and not all_are_back))
         ]
         beside_all = bool(members.joining) and not members.leaving
         if beside_all:
--- a/iristrack/simulation/control_nodes.py
+++ b/iristrack/simulation/control_nodes.py
@@ -108,6 +108,17 @@
         """Does it run, vote as far as it knows, and write?"""
         return self.up and not self.frozen and not self.disk.refusing and self.plane.register.voting
 
+    @property
+    def is_away(self) -> bool:
+        """Is it down, frozen, or without a disk that takes records, and to come back?"""
+        return not self.gone and (not self.up or self.frozen or self.disk.refusing)
+
+    @property
+    def is_empty(self) -> bool:
+        """Does its disk hold no vote, as it was lost and not made good?"""
+        identity = self.disk.identity
+        return identity is None or not identity.incarnation
+
     def start(self) -> None:
         """Start the process, unless one runs."""
         if self.up or self.gone:
