--- a/iristrack/cli/system.py
+++ b/iristrack/cli/system.py
@@ -21,7 +21,7 @@
   0  done; nothing to complain of, no difference
   1  findings (config check), differences (config diff), nothing that answers such a request (explain)
   2  a bad argument, or a file or folder that cannot be read or used
-  3  no control plane gave a usable answer, or there is no configuration yet
+  3  no control plane gave a usable answer, or there is no configuration or roll-out yet
 """
 CHECK_EXIT_CODES = """\
 exit codes:
@@ -47,6 +47,8 @@
     _add_part(parts, source, "members", "who votes, under which incarnation, and who is connected")
     _add_part(parts, source, "duties", "who holds which duty, under which fence")
     _add_part(parts, source, "versions", "the newest named revision of each model's weights")
+    rollout = _add_part(parts, source, "rollout", "how the newest roll-out of a service stands")
+    rollout.add_argument("service", metavar="SERVICE", help="its label in the configuration")
     _add_config(parts, source)
     _add_explain(parts, source)
     system.set_defaults(call=main)
--- a/iristrack/cli/system_commands.py
+++ b/iristrack/cli/system_commands.py
@@ -32,6 +32,8 @@
         )
     if chosen.system == "explain":
         return _explain(chosen, source)
+    if chosen.system == "rollout":
+        return _rollout(chosen, source)
     print_status = {
         "status": _print_status,
         "members": _print_members,
@@ -41,6 +43,17 @@
     return _show(chosen, source.status(), print_status[chosen.system])
 
 
+def _rollout(chosen: argparse.Namespace, source: Source) -> int:
+    found = source.rollout(chosen.service)
+    if found is None:
+        raise CommandFailed(f"no roll-out of {one_line(chosen.service)} was ever ordered", EXIT_NO_ANSWER)
+    if chosen.json:
+        _print_json(asdict(found))
+    else:
+        print_pairs(asdict(found).items())
+    return EXIT_DONE
+
+
 def _source(chosen: argparse.Namespace) -> Source:
     if chosen.data_dir is not None:
         return DiskSource(chosen.data_dir, EXIT_UNREADABLE)
--- a/iristrack/cli/system_sources.py
+++ b/iristrack/cli/system_sources.py
@@ -11,10 +11,12 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Protocol
+from urllib.parse import quote
 
 from iristrack.controlplane import status
 from iristrack.controlplane.register_host import MEMBERS_BLOB
 from iristrack.controlplane.status import MemberStatus, SystemStatus, TopicStatus
+from iristrack.engines.rollouts import WHOLE
 from iristrack.register import Acceptor, Cell
 from iristrack.relay import topics
 from iristrack.store.cells import CellsError
@@ -55,6 +57,16 @@
     notes: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutStatus:
+    """How the newest roll-out of a service stands; `share` is the part of its requests that the version gets."""
+
+    service: str
+    version: str
+    phase: str
+    share: float
+
+
 class Source(Protocol):
     """What commands read."""
 
@@ -64,6 +76,9 @@
     def configuration(self) -> bytes | None:
         """The newest configuration's text, None while there is none; raises `CommandFailed`."""
 
+    def rollout(self, service: str) -> RolloutStatus | None:
+        """The newest roll-out of a service, None where it had none; raises `CommandFailed`."""
+
 
 @dataclass(slots=True)
 class _Answer:
@@ -94,6 +109,17 @@
         answer = self._get(CONFIGURATION_PATH, accepted=(200, 404))
         return answer.body if answer.status == 200 else None
 
+    def rollout(self, service: str) -> RolloutStatus | None:
+        """As a majority of the core has it."""
+        answer = self._get(f"/rollouts/{quote(service, safe='')}/read", accepted=(200, 404))
+        if answer.status == 404:
+            return None
+        try:
+            told = json.loads(answer.body)
+            return RolloutStatus(service, told["target_version"], told["phase"], told["share"])
+        except (ValueError, KeyError, TypeError) as fault:
+            raise CommandFailed(f"{answer.address}: no roll-out in its answer", self.no_answer) from fault
+
     def _get(self, path: str, accepted: Sequence[int]) -> _Answer:
         refusals = []
         for address in self.addresses:
@@ -163,6 +189,15 @@
         value = self._value(self._read(), topics.CONFIGURATION)
         return value.body if value is not None and value.body else None
 
+    def rollout(self, service: str) -> RolloutStatus | None:
+        """As this member has accepted it."""
+        value = self._value(self._read(), topics.ROLLOUTS)
+        states = () if value is None else value.rollouts
+        state = next((state for state in states if state.service == service), None)
+        if state is None:
+            return None
+        return RolloutStatus(service, state.version, state.phase, state.share / WHOLE)
+
     def _read(self) -> SeenCells:
         try:
             return read_cells(str(self.folder))
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -5,11 +5,15 @@
 
 from __future__ import annotations
 
+import json
 import threading
 from collections.abc import Iterator
+from contextlib import redirect_stderr, redirect_stdout
+from io import StringIO
 
 import pytest
 
+from iristrack.__main__ import main
 from iristrack.standin.model_server import ModelServer
 from iristrack.standin.system import System
 from iristrack.standin.waiting import wait_until
@@ -150,6 +154,20 @@
     for core in system.cores:
         core.start()
     assert phase(system) == "reverted"
+    for source in (("--control", system.cores[0].control), ("--data-dir", str(system.cores[0].disk))):
+        assert shown(CHAT, *source) == (
+            0,
+            {"service": CHAT, "version": VERSION, "phase": "reverted", "share": 0},
+        )
+        assert shown("nothing", *source) == (3, None)
+
+
+def shown(service: str, *source: str) -> tuple[int, dict | None]:
+    """What `iristrack system rollout` says."""
+    printed = StringIO()
+    with redirect_stdout(printed), redirect_stderr(StringIO()):
+        status = main(["system", "rollout", service, "--json", *source])
+    return status, json.loads(printed.getvalue()) if printed.getvalue() else None
 
 
 @pytest.mark.parametrize(
