Send a canary to few servers in turn, busier than all would be

The canary's servers are 0.4 of those that its share would need, one at least, and others every two seconds of the time since the order, which the state bears: a single ill server is not the version, and each is seen under load.

--- a/iristrack/placement/rollouts.py
+++ b/iristrack/placement/rollouts.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass
 from statistics import median
 
-from iristrack.engines.rollouts import FINISHED, REVERTED, RUNNING, WHOLE, busy_servers
+from iristrack.engines.rollouts import FINISHED, REVERTED, RUNNING, WHOLE, busy_servers, canary_turn
 from iristrack.engines.version_test import NO_ANSWERS, Answers
+from iristrack.placement.ranking import hash64, mix64
 from iristrack.placement.servers import Server
 from iristrack.wire.messages import AnswerCounts, RolloutState
 
@@ -107,7 +108,9 @@
             return old or (new if state.share >= WHOLE else old)
         if state.share >= WHOLE:
             return new
-        return sorted(new, key=lambda server: server.hash)[: busy_servers(len(new), state.share)]
+        turn = hash64(str(canary_turn(state.elapsed_ms)))
+        ranked = sorted(new, key=lambda server: mix64(server.hash ^ turn))
+        return ranked[: busy_servers(len(new), state.share)]
 
     def _goes_to_new(self, state: RolloutState, again: bool, now: int, rng: random.Random) -> bool:
         if self._confirmed_at is None or now - self._confirmed_at > LEASE_NS:
--- a/tests/engines/test_rollouts.py
+++ b/tests/engines/test_rollouts.py
@@ -76,11 +76,11 @@
     assert next_state(BEGUN, at(0.4, all_answers=answers)).share == share
 
 
-def test_a_share_goes_to_so_few_servers_that_they_are_as_busy_as_all_would_be() -> None:
+def test_a_share_goes_to_so_few_servers_that_they_are_busier_than_all_would_be() -> None:
     assert busy_servers(70, WHOLE) == 70
-    assert busy_servers(70, 100) <= 7
-    assert busy_servers(1, LEAST_CANARY_SHARE) == 1
-    assert busy_servers(5, LEAST_CANARY_SHARE) == 2
+    assert busy_servers(70, 450) < 0.45 * 70
+    assert busy_servers(70, 100) <= 0.5 * 0.1 * 70
+    assert busy_servers(1, LEAST_CANARY_SHARE) == busy_servers(5, LEAST_CANARY_SHARE) == 1
 
 
 # ---- a fleet
--- a/tests/placement/test_rollouts.py
+++ b/tests/placement/test_rollouts.py
@@ -67,7 +67,20 @@
     seen = [made.allowed("pool", ALL, False, 0, draw) for _ in range(4000)]
     new = [servers for servers in seen if servers[0] in NEW]
     assert 300 < len(new) < 500
-    assert all(set(servers) == set(NEW[:2]) for servers in new)
+    assert {len(servers) for servers in new} == {1}
+    assert len({servers[0] for servers in new}) == 1
+
+
+def test_a_canary_goes_to_other_servers_in_turn() -> None:
+    seen = set()
+    for elapsed_ms in range(0, 40_000, 500):
+        made = Rollouts()
+        made.confirmed(0)
+        made.follow([RolloutState("pool", "v2", 60_000, RUNNING, 100, 1, elapsed_ms)])
+        draw = random.Random(1)
+        picked = [made.allowed("pool", ALL, False, 0, draw) for _ in range(100)]
+        seen |= {servers[0].instance_id for servers in picked if servers[0] in NEW}
+    assert seen == {server.instance_id for server in NEW}
 
 
 def test_a_request_that_was_sent_before_goes_to_the_version_that_is_there() -> None:
