Look for slow answers only where a canary's servers are not kept busy

A canary's turns alternate now: as busy as all would be, where slow answers are counted, and half as many servers, where only failures are. A turn is 0.11 of the time from order to deadline.

--- a/iristrack/dataplane/exchange.py
+++ b/iristrack/dataplane/exchange.py
@@ -58,6 +58,7 @@
         self.service = self._draw_service()
         self.prompt = PromptParts(plane, request, self.service)
         self.lateness = Lateness(request.arrived, clock())
+        self._loads_canary = False  # was the attempt sent while a new version's servers are kept busy?
         self._unread: int = 0  # pieces that the attempt's server still has to read
 
     def _draw_service(self) -> str:
@@ -156,6 +157,7 @@
         if cache is not None:
             attempt.begin_by = partial(plane.begin_by, request.model, cache.revision)
         began = clock()
+        self._loads_canary = plane.rollouts.loads_canary(self.service)
         self._unread = pieces_to_read(self.prompt.at(server))
         fetches = cache is not None and cache.fetch_from is not None
         self.lateness.sent(began, self._unread, server.load, fetches)
@@ -257,7 +259,7 @@
         server.succeeded(clock())
         times = self.lateness.times()
         if times is not None:
-            self.plane.rollouts.answered(server, request.route.label, times)
+            self.plane.rollouts.answered(server, request.route.label, times, self._loads_canary)
         attempt.finish()
         return True
 
--- a/iristrack/engines/rollouts.py
+++ b/iristrack/engines/rollouts.py
@@ -1,8 +1,8 @@
 """The plan of one roll-out: how much of a service's traffic its new version gets when, and how it ends. No I/O.
 
     waiting     no server of the new version is ready yet: it gets nothing
-    canary      a small share, sent to so few of its servers that these are busier than all would be with all of it, and to
-                others every two seconds
+    canary      a small share, sent to so few of its servers that these are as busy as all would be with all of it, in
+                every other turn to half as many, and to others in each turn
     steps       the share rises quickly to the whole
     whole       it gets everything, until nothing is under way at the old version's servers
     finished    the old version's servers may stop
@@ -31,9 +31,9 @@
 NS_PER_MS = 1_000_000
 LEAST_WHOLE_NS = 1500 * NS_PER_MS  # at the whole share, before it may be finished
 LATEST_FINISH = 0.93  # of the time: it is finished though something is under way at the old version's servers
-CANARY_CONCENTRATION = 0.4  # of the servers that a share would need: a version may be bad under load only
-CONCENTRATION = 0.8  # the same of the steps
-CANARY_TURN_MS = 2_000  # after which a canary goes to other servers: one may be ill by itself
+CONCENTRATION = 0.8  # of the servers that a share would need: these are a little busier than all would be
+LOADED_CONCENTRATION = 0.4  # the same in every other turn of a canary: a version may be bad under load only
+TURN = 0.11  # of the time, after which a canary goes to other servers: one may be ill by itself
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,14 +91,19 @@
     return situation.new_ready > 0 and (situation.under_way_old == 0 or is_late)
 
 
-def busy_servers(servers: int, share: int) -> int:
-    """To how many of so many servers a share of the traffic is sent."""
-    if share >= WHOLE:
+def busy_servers(servers: int, state: RolloutState) -> int:
+    """To how many of so many servers the share of the traffic is sent."""
+    if state.share >= WHOLE:
         return servers
-    concentration = CANARY_CONCENTRATION if share <= MOST_CANARY_SHARE else CONCENTRATION
-    return min(servers, max(1, round(servers * share / WHOLE * concentration)))
+    concentration = LOADED_CONCENTRATION if is_loaded(state) else CONCENTRATION
+    return min(servers, max(1, round(servers * state.share / WHOLE * concentration)))
 
 
-def canary_turn(elapsed_ms: int) -> int:
+def canary_turn(state: RolloutState) -> int:
     """The number of the turn whose servers get the share."""
-    return elapsed_ms // CANARY_TURN_MS
+    return int(state.elapsed_ms / (state.over_ms * TURN))
+
+
+def is_loaded(state: RolloutState) -> bool:
+    """Are the canary's servers kept busier than usual just now? Slow answers say nothing then."""
+    return state.phase == RUNNING and state.share <= MOST_CANARY_SHARE and canary_turn(state) % 2 == 0
--- a/iristrack/placement/rollouts.py
+++ b/iristrack/placement/rollouts.py
@@ -12,7 +12,15 @@
 from dataclasses import dataclass
 from statistics import median
 
-from iristrack.engines.rollouts import FINISHED, REVERTED, RUNNING, WHOLE, busy_servers, canary_turn
+from iristrack.engines.rollouts import (
+    FINISHED,
+    REVERTED,
+    RUNNING,
+    WHOLE,
+    busy_servers,
+    canary_turn,
+    is_loaded,
+)
 from iristrack.engines.version_test import NO_ANSWERS, Answers
 from iristrack.placement.ranking import hash64, mix64
 from iristrack.placement.servers import Server
@@ -108,9 +116,14 @@
             return old or (new if state.share >= WHOLE else old)
         if state.share >= WHOLE:
             return new
-        turn = hash64(str(canary_turn(state.elapsed_ms)))
+        turn = hash64(str(canary_turn(state)))
         ranked = sorted(new, key=lambda server: mix64(server.hash ^ turn))
-        return ranked[: busy_servers(len(new), state.share)]
+        return ranked[: busy_servers(len(new), state)]
+
+    def loads_canary(self, service: str) -> bool:
+        """Is a request of this service that is sent now no measure of how slow the new version is?"""
+        state = self._states.get(service)
+        return state is not None and is_loaded(state)
 
     def _goes_to_new(self, state: RolloutState, again: bool, now: int, rng: random.Random) -> bool:
         if self._confirmed_at is None or now - self._confirmed_at > LEASE_NS:
@@ -121,14 +134,17 @@
 
     # ---- how requests ended
 
-    def answered(self, server: Server, route: str, times: AnswerTimes) -> None:
-        """A whole answer came."""
+    def answered(self, server: Server, route: str, times: AnswerTimes, was_loaded: bool = False) -> None:
+        """A whole answer came; `was_loaded`: it was sent while `loads_canary`, so that its times say nothing."""
         state = self._states.get(server.listed.service)
         if state is None or state.phase != RUNNING:
             return
+        is_new = server.listed.software == state.version
+        if is_new and was_loaded:
+            return
         usual = self._usual.setdefault(route, UsualTimes())
         is_slow = usual.is_slow(times)
-        if server.listed.software != state.version:
+        if not is_new:
             usual.add(times)
         self._count(state, server, route, Answers(slow=1) if is_slow else Answers(good=1))
 
